--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -0,0 +1,470 @@
+package org.lycheeroad.coordination.jobs;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.lycheeroad.coordination.jobs.Run.Phase;
+import org.lycheeroad.coordination.jobs.Worker.ListedEnd;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.id.TeamId;
+import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.work.ClusterConfig;
+import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.ProgressRecord;
+import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
+import org.lycheeroad.state.work.QueueConfig;
+import org.lycheeroad.state.work.QueueName;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.WorkState;
+import org.lycheeroad.state.work.WorkerEntry;
+import org.lycheeroad.state.work.WorkerRuns;
+
+/**
+ * Decides which task runs where.
+ *
+ * <p>The scheduler is a state machine: its owner tells it what happened and sends the orders that
+ * it returns. A run is first recorded in the store and only then started, so that a later owner
+ * knows every run that may exist; an end is recorded before the worker may forget it. Times are
+ * milliseconds of a steady clock unless said otherwise.
+ */
+public final class JobScheduler {
+    /** What the store has to keep of a job. */
+    public record Unsaved(JobId job, long version, ProgressRecord progress) {}
+
+    private final SchedulerSettings mSettings;
+    private final Cluster mCluster = new Cluster();
+    private final RunTracker mTracker = new RunTracker(mCluster);
+    private final Reclaim mReclaim = new Reclaim(mCluster);
+    private final ServiceOrder mOrder = new ServiceOrder(mCluster.durations);
+
+    public JobScheduler(SchedulerSettings settings) {
+        mSettings = settings;
+    }
+
+    /** Puts a configuration in force. */
+    public void onConfig(ClusterConfig config) {
+        mCluster.config = config;
+        for (Job job : mCluster.active.values()) {
+            config.queue(job.record.queue()).ifPresent(queue -> job.queue = queue);
+        }
+    }
+
+    /**
+     * Adds an accepted job.
+     *
+     * @param progress what earlier owners recorded, or null
+     * @param ageMs how long ago the job was accepted
+     */
+    public void onJob(JobId id, JobRecord record, ProgressRecord progress, long ageMs, long now) {
+        if (mCluster.job(id) != null) {
+            return;
+        }
+        QueueConfig queue =
+                mCluster.config.queue(record.queue()).orElseGet(() -> unknownQueue(record));
+        Job job = new Job(id, record, queue, now - ageMs);
+        if (progress != null && progress.state().isEnded()) {
+            job.state = progress.state();
+            job.endedAt = now;
+            mCluster.ended.put(id, job);
+        } else {
+            mCluster.active.put(id, job);
+        }
+        if (progress != null) {
+            progress.tasks().forEach(row -> restore(job, row));
+            if (!job.state.isEnded()) {
+                job.state = progress.tasks().isEmpty() ? progress.state() : WorkState.ACTIVE;
+            }
+        }
+    }
+
+    /** Cancels a job; one that has ended stays as it is. */
+    public void onCancel(JobId id, long now) {
+        Job job = mCluster.active.get(id);
+        if (job != null) {
+            mCluster.end(job, WorkState.CANCELLED, now);
+        }
+    }
+
+    /** Adds or updates a worker from its own report in the directory. */
+    public void onWorker(WorkerEntry entry, long now) {
+        Worker worker = mCluster.worker(entry.id());
+        if (worker.entry != null && entry.bornMs() < worker.bornMs) {
+            return;
+        }
+        worker.entry = entry;
+        worker.listed = true;
+        if (entry.bornMs() > worker.bornMs) {
+            mTracker.onBorn(worker, entry.bornMs(), now);
+        }
+    }
+
+    /** A worker is no longer in the directory; its runs go on until their lease ends. */
+    public void onWorkerUnlisted(WorkerId id) {
+        Worker worker = mCluster.workers.get(id);
+        if (worker != null) {
+            worker.listed = false;
+        }
+    }
+
+    /** A worker has not answered. */
+    public void onWorkerSilent(WorkerId id) {
+        Worker worker = mCluster.workers.get(id);
+        if (worker != null) {
+            worker.silent = true;
+        }
+    }
+
+    /** All leases of a worker have certainly ended. */
+    public void onLeaseLapsed(WorkerId id, long now) {
+        Worker worker = mCluster.workers.get(id);
+        if (worker != null) {
+            mTracker.onLapsed(worker, now);
+        }
+    }
+
+    /** Applies a worker's list of runs, which was asked for at {@code askedAt}. */
+    public void onRuns(WorkerId id, WorkerRuns runs, long askedAt, long now) {
+        Worker worker = mCluster.workers.get(id);
+        if (worker != null) {
+            mTracker.onRuns(worker, runs, askedAt, now);
+        }
+    }
+
+    /** Applies the answer to a start. */
+    public void onStartAnswer(WorkerId id, RunRef ref, OrderAnswer answer, long now) {
+        Run run = find(id, ref);
+        if (run != null) {
+            mTracker.onStartAnswer(run, answer, now);
+        }
+    }
+
+    /** Applies the answer to a stop. */
+    public void onStopAnswer(WorkerId id, RunRef ref, OrderAnswer answer, long now) {
+        Run run = find(id, ref);
+        if (run != null) {
+            mTracker.onStopAnswer(run, answer, now);
+        }
+    }
+
+    /** The store holds a version of a job's progress; its recorded runs may start. */
+    public void onSaved(JobId id, long version, long now) {
+        Job job = mCluster.job(id);
+        if (job == null) {
+            return;
+        }
+        job.savedVersion = Math.max(job.savedVersion, version);
+        for (List<StepRun> steps : job.occurrences.values()) {
+            for (StepRun step : steps) {
+                startRecorded(step, now);
+            }
+        }
+    }
+
+    /** Does what is due and places waiting tasks; {@code wallMs} is the time of day. */
+    public void plan(long now, long wallMs) {
+        mTracker.tick(now);
+        mReclaim.expire(now);
+        List<StepRun> waiting = waitingSteps(now, wallMs);
+        Set<Job> guaranteed = guaranteedJobs();
+        Map<StepRun, ServiceOrder.Rank> ranks = new HashMap<>();
+        for (StepRun step : waiting) {
+            boolean first = step.number == 0 && guaranteed.contains(step.job);
+            ranks.put(step, mOrder.rank(step, first, now, wallMs));
+        }
+        waiting.sort(Comparator.comparing(ranks::get));
+        for (StepRun step : waiting) {
+            placeStep(step, guaranteed.contains(step.job), now);
+        }
+        forgetOldJobs(now);
+    }
+
+    /** Returns the orders to send since the last call. */
+    public List<JobAction> takeActions() {
+        return mCluster.takeActions();
+    }
+
+    /** Returns what has to be saved since the last call. */
+    public List<Unsaved> takeUnsaved() {
+        List<Unsaved> unsaved = new ArrayList<>();
+        for (Job job : mCluster.dirty) {
+            unsaved.add(new Unsaved(job.id, job.version, job.progress()));
+        }
+        mCluster.dirty.clear();
+        return unsaved;
+    }
+
+    /** Returns whether something has to be saved without delay for work to go on. */
+    public boolean hasUrgentUnsaved() {
+        for (Job job : mCluster.dirty) {
+            if (job.state.isEnded()) {
+                return true;
+            }
+            for (List<StepRun> steps : job.occurrences.values()) {
+                for (StepRun step : steps) {
+                    for (Task task : step.tasks) {
+                        if (task.run != null && task.run.phase == Phase.RECORDING) {
+                            return true;
+                        }
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
+    /** Returns a job's state as callers may see it; an end is shown once it is saved. */
+    public Optional<WorkState> stateOf(JobId id) {
+        Job job = mCluster.job(id);
+        if (job == null) {
+            return Optional.empty();
+        }
+        if (job.state.isEnded() && !job.isSaved()) {
+            return Optional.of(WorkState.ACTIVE);
+        }
+        return Optional.of(job.state);
+    }
+
+    /** Returns the number of a queue's jobs for which no task has started. */
+    public int pending(QueueName queue) {
+        int count = 0;
+        for (Job job : mCluster.active.values()) {
+            if (job.state == WorkState.QUEUED && job.record.queue().equals(queue)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns up to which number a worker may forget its ends. */
+    public long observed(WorkerId id) {
+        Worker worker = mCluster.workers.get(id);
+        if (worker == null) {
+            return 0;
+        }
+        while (!worker.listedEnds.isEmpty() && isSaved(worker.listedEnds.peekFirst())) {
+            worker.observed = worker.listedEnds.pollFirst().number();
+        }
+        return worker.observed;
+    }
+
+    /** Returns whether a worker must be asked for its runs. */
+    public boolean needsLook(WorkerId id) {
+        Worker worker = mCluster.workers.get(id);
+        return worker != null
+                && (!worker.seen
+                        || worker.silent
+                        || !worker.runs.isEmpty()
+                        || !worker.strangers.isEmpty()
+                        || !worker.listedEnds.isEmpty());
+    }
+
+    /** Returns whether a worker may have runs. */
+    public boolean hasRuns(WorkerId id) {
+        Worker worker = mCluster.workers.get(id);
+        return worker != null && !(worker.runs.isEmpty() && worker.strangers.isEmpty());
+    }
+
+    /** Returns the workers that may have runs. */
+    public List<WorkerId> workersWithRuns() {
+        return mCluster.workers.keySet().stream().filter(this::hasRuns).toList();
+    }
+
+    /** Returns whether a worker is neither in the directory nor has runs. */
+    public boolean isGone(WorkerId id) {
+        Worker worker = mCluster.workers.get(id);
+        return worker == null || (!worker.listed && !hasRuns(id));
+    }
+
+    /** Forgets a worker that is gone for good. */
+    public void forget(WorkerId id) {
+        mCluster.workers.remove(id);
+    }
+
+    /** Returns the jobs that ended longer ago than they have to be shown. */
+    public List<JobId> expiredJobs(long now) {
+        List<JobId> expired = new ArrayList<>();
+        for (Job job : mCluster.ended.values()) {
+            if (now - job.endedAt > 2 * mSettings.statusKeepMs()) {
+                expired.add(job.id);
+            }
+        }
+        return expired;
+    }
+
+    private boolean isSaved(ListedEnd end) {
+        Job job = mCluster.job(end.job());
+        return job == null || job.savedVersion >= end.version();
+    }
+
+    private Run find(WorkerId id, RunRef ref) {
+        Worker worker = mCluster.workers.get(id);
+        return worker == null ? null : worker.runs.get(ref);
+    }
+
+    /** Restores a task; its newest run may still be on its worker. */
+    private void restore(Job job, TaskProgress row) {
+        StepRun step = job.addOccurrence(row.occurrence()).get(row.step());
+        Task task = step.tasks.get(row.index());
+        task.attempt = row.attempt();
+        task.done = row.done();
+        if (step.plan.gang()) {
+            step.gangFailures = row.failures();
+        } else {
+            task.failures = row.failures();
+        }
+        step.saveCheckpoint(task, row.checkpoint());
+        if (row.worker() == null) {
+            return;
+        }
+        Worker worker = mCluster.worker(row.worker());
+        if (worker.entry != null && row.workerBornMs() < worker.bornMs) {
+            return;
+        }
+        worker.bornMs = Math.max(worker.bornMs, row.workerBornMs());
+        Run run = new Run(new RunRef(task.ref, row.attempt()), task, worker, Phase.UNCONFIRMED);
+        worker.add(run);
+        task.run = run;
+    }
+
+    private List<StepRun> waitingSteps(long now, long wallMs) {
+        List<StepRun> waiting = new ArrayList<>();
+        for (Job job : mCluster.active.values()) {
+            job.addDueOccurrences(wallMs);
+            for (List<StepRun> steps : job.occurrences.values()) {
+                for (StepRun step : steps) {
+                    if (step.hasWaiting() && job.isReady(step)) {
+                        if (step.readySince < 0) {
+                            step.readySince = now;
+                        }
+                        waiting.add(step);
+                    }
+                }
+            }
+        }
+        return waiting;
+    }
+
+    /** Returns the urgent jobs that fit into their teams' guarantees, oldest first. */
+    private Set<Job> guaranteedJobs() {
+        Map<TeamId, Integer> used = new HashMap<>();
+        Set<Job> guaranteed = new HashSet<>();
+        for (Job job : mCluster.active.values()) {
+            if (job.queue.priority() == 0) {
+                int need = used.merge(job.record.team(), accelerators(job), Integer::sum);
+                if (need <= mCluster.config.guaranteed(job.record.team())) {
+                    guaranteed.add(job);
+                } else {
+                    used.merge(job.record.team(), -accelerators(job), Integer::sum);
+                }
+            }
+        }
+        return guaranteed;
+    }
+
+    /** Returns the most accelerators that a job uses at a time. */
+    private static int accelerators(Job job) {
+        int most = 0;
+        for (var step : job.record.plan().steps()) {
+            most = Math.max(most, step.count() * step.need().accelerators());
+        }
+        return most;
+    }
+
+    private void placeStep(StepRun step, boolean guaranteed, long now) {
+        List<Task> tasks = step.waiting();
+        if (tasks.isEmpty()) {
+            return;
+        }
+        boolean remote = mayRunRemotely(step, guaranteed, now);
+        Collection<Worker> workers = mCluster.workers.values();
+        Map<Task, Worker> places = Placement.place(step, tasks, workers, remote, now);
+        int attempt = 0;
+        for (Map.Entry<Task, Worker> place : places.entrySet()) {
+            Task task = place.getKey();
+            attempt = step.plan.gang() && attempt > 0 ? attempt : step.nextAttempt(task);
+            mCluster.assign(task, place.getValue(), attempt);
+            useClaim(place.getValue(), step);
+        }
+        if (!places.isEmpty()) {
+            mCluster.touch(step.job);
+            for (Task task : places.keySet()) {
+                task.run.recordVersion = step.job.version;
+            }
+        }
+        if (guaranteed && places.size() < tasks.size() && !mReclaim.hasClaims(step)) {
+            mReclaim.reclaim(step, step.waiting(), workers, now);
+        }
+    }
+
+    /** Running remotely multiplies the time, so it is worth a wait of about the time it costs. */
+    private boolean mayRunRemotely(StepRun step, boolean guaranteed, long now) {
+        if (guaranteed) {
+            return true;
+        }
+        long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
+        return now - step.readySince > expected;
+    }
+
+    private static void useClaim(Worker worker, StepRun step) {
+        for (Worker.Claim claim : worker.claims) {
+            if (claim.step == step) {
+                claim.tasks--;
+            }
+        }
+        worker.claims.removeIf(claim -> claim.tasks <= 0);
+    }
+
+    private void startRecorded(StepRun step, long now) {
+        boolean whole = true;
+        List<Run> ready = new ArrayList<>();
+        for (Task task : step.tasks) {
+            Run run = task.run;
+            if (run != null
+                    && run.phase == Phase.RECORDING
+                    && run.recordVersion <= step.job.savedVersion) {
+                ready.add(run);
+                whole &= run.worker.isUsable(now);
+            }
+        }
+        for (Run run : ready) {
+            boolean send = step.plan.gang() ? whole : run.worker.isUsable(now);
+            if (send) {
+                mCluster.sendStart(run, now);
+                if (step.job.state == WorkState.QUEUED) {
+                    step.job.state = WorkState.ACTIVE;
+                }
+            } else {
+                mCluster.release(run);
+            }
+        }
+    }
+
+    private void forgetOldJobs(long now) {
+        mCluster.ended
+                .values()
+                .removeIf(
+                        job ->
+                                job.isSaved()
+                                        && now - job.endedAt > 3 * mSettings.statusKeepMs());
+    }
+
+    private static QueueConfig unknownQueue(JobRecord record) {
+        return new QueueConfig(
+                record.queue(),
+                "",
+                "",
+                new org.lycheeroad.state.work.ServiceName(""),
+                Integer.MAX_VALUE,
+                1,
+                1,
+                0,
+                false,
+                null);
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -0,0 +1,60 @@
+package org.lycheeroad.coordination.jobs;
+
+import org.lycheeroad.state.work.Resources;
+import org.lycheeroad.state.work.RunRef;
+
+/** One run of a task on a worker; it takes room there until the worker says that it is over. */
+final class Run {
+    /** How far a run has got. */
+    enum Phase {
+        /** Waits until the store holds its record. */
+        RECORDING,
+        /** Its start was sent. */
+        STARTING,
+        /** It is or may be at work. */
+        RUNNING,
+        /** Recorded by an earlier owner and not yet looked for. */
+        UNCONFIRMED,
+        /** Its stop was sent. */
+        STOPPING
+    }
+
+    public final RunRef ref;
+    public final Task task;
+    public final Worker worker;
+    public final long bornMs;
+    public final Resources room;
+    public Phase phase;
+    public String ticket = "";
+
+    /** The version of the job's record that first holds this run. */
+    public long recordVersion;
+
+    /** When the start was first sent. */
+    public long sentAt;
+
+    /** When the worker confirmed the start or the stop; reports asked for later show the effect. */
+    public long confirmedAt = Long.MAX_VALUE;
+
+    public int percent;
+    /** When the percentage last rose. */
+    public long progressAt;
+
+    public long workingSince;
+    /** When the last stop was sent. */
+    public long stopSentAt;
+
+    Run(RunRef ref, Task task, Worker worker, Phase phase) {
+        this.ref = ref;
+        this.task = task;
+        this.worker = worker;
+        this.bornMs = worker.bornMs;
+        this.room = task.step.plan.reserved();
+        this.phase = phase;
+    }
+
+    /** Returns whether the run is the newest of its task. */
+    boolean isCurrent() {
+        return task.run == this;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -0,0 +1,305 @@
+package org.lycheeroad.coordination.jobs;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.lycheeroad.coordination.jobs.Run.Phase;
+import org.lycheeroad.coordination.jobs.Worker.ListedEnd;
+import org.lycheeroad.state.work.RunEnd;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.WorkState;
+import org.lycheeroad.state.work.WorkerRuns;
+import org.lycheeroad.state.work.WorkerRuns.Ended;
+import org.lycheeroad.state.work.WorkerRuns.Running;
+
+/** Follows runs from what workers answer and list. */
+final class RunTracker {
+    /** How long a start without an answer is repeated; well below the usual gang wait of 3 s. */
+    private static final long REPEAT_START_MS = 1_500;
+
+    /** How long a stop waits for its effect before it is repeated; stops take some 200-400 ms. */
+    private static final long REPEAT_STOP_MS = 700;
+
+    /** How long a worker that fails several jobs gets no work at first. */
+    private static final long FIRST_QUARANTINE_MS = 3_000;
+
+    private static final long MAX_QUARANTINE_MS = 24_000;
+
+    /** How many steps in a row must fail on a worker before it is blamed. */
+    private static final int BLAMED_STEPS = 2;
+
+    /** How long a worker that refused a start gets no further ones. */
+    private static final long REFUSED_PAUSE_MS = 500;
+
+    /** How long a task may make no progress at least. */
+    private static final long STALL_MS = 3_500;
+
+    /** The share of a task's expected time in which it must make some progress. */
+    private static final double STALL_SHARE = 0.25;
+
+    private final Cluster mCluster;
+
+    RunTracker(Cluster cluster) {
+        mCluster = cluster;
+    }
+
+    /** Applies a worker's list; {@code askedAt} is when the list was asked for. */
+    void onRuns(Worker worker, WorkerRuns report, long askedAt, long now) {
+        if (report.bornMs() < worker.bornMs) {
+            return;
+        }
+        if (report.bornMs() > worker.bornMs) {
+            onBorn(worker, report.bornMs(), now);
+        }
+        worker.seen = true;
+        worker.silent = false;
+        for (Ended end : report.ended()) {
+            if (end.number() > worker.newestEnd) {
+                worker.newestEnd = end.number();
+                onEnd(worker, end, now);
+            }
+        }
+        Set<RunRef> present = new HashSet<>();
+        worker.strangers.clear();
+        for (Running running : report.running()) {
+            present.add(running.run());
+            onRunning(worker, running, now);
+        }
+        for (Run run : new ArrayList<>(worker.runs.values())) {
+            if (!present.contains(run.ref) && isOverWhenAbsent(run, askedAt)) {
+                onLost(run, now);
+            }
+        }
+    }
+
+    /** A new incarnation holds nothing of the one before. */
+    void onBorn(Worker worker, long bornMs, long now) {
+        worker.bornMs = bornMs;
+        worker.newestEnd = 0;
+        worker.observed = 0;
+        worker.listedEnds.clear();
+        worker.strangers.clear();
+        worker.seen = false;
+        onLapsed(worker, now);
+    }
+
+    /** Treats all runs of a worker as over. */
+    void onLapsed(Worker worker, long now) {
+        for (Run run : new ArrayList<>(worker.runs.values())) {
+            onLost(run, now);
+        }
+    }
+
+    void onStartAnswer(Run run, OrderAnswer answer, long now) {
+        if (run.phase != Phase.STARTING) {
+            return;
+        }
+        switch (answer) {
+            case ACCEPTED -> {
+                run.phase = Phase.RUNNING;
+                run.confirmedAt = now;
+                run.workingSince = now;
+                run.progressAt = now;
+            }
+            case UNKNOWN -> {
+                if (now - run.sentAt < REPEAT_START_MS) {
+                    mCluster.sendStart(run, now);
+                } else {
+                    mCluster.stop(run, now);
+                    stopOthers(run, now);
+                }
+            }
+            default -> {
+                run.worker.quarantinedUntil =
+                        Math.max(run.worker.quarantinedUntil, now + REFUSED_PAUSE_MS);
+                // An earlier copy of the start without an answer may still arrive.
+                mCluster.stop(run, now);
+                stopOthers(run, now);
+            }
+        }
+    }
+
+    void onStopAnswer(Run run, OrderAnswer answer, long now) {
+        if (run.phase == Phase.STOPPING && answer == OrderAnswer.ACCEPTED) {
+            run.confirmedAt = Math.min(run.confirmedAt, now);
+        }
+        if (answer == OrderAnswer.REPLACED) {
+            onLost(run, now);
+        }
+    }
+
+    /** Repeats stops without effect and stops what stands still. */
+    void tick(long now) {
+        for (Worker worker : mCluster.workers.values()) {
+            for (Run run : new ArrayList<>(worker.runs.values())) {
+                if (run.phase == Phase.STOPPING && now - run.stopSentAt > REPEAT_STOP_MS) {
+                    mCluster.sendStop(run, now);
+                } else if (run.phase == Phase.RUNNING && !worker.silent && isStalled(run, now)) {
+                    run.task.failedOn.add(worker.id);
+                    blame(worker, run.task.step, now);
+                    mCluster.stop(run, now);
+                    stopOthers(run, now);
+                }
+            }
+        }
+    }
+
+    private boolean isStalled(Run run, long now) {
+        StepRun step = run.task.step;
+        if (step.plan.longRunning() || step.plan.fills()) {
+            return false;
+        }
+        long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
+        return now - run.progressAt > Math.max(STALL_MS, Math.round(expected * STALL_SHARE));
+    }
+
+    private void onRunning(Worker worker, Running running, long now) {
+        Run run = worker.runs.get(running.run());
+        if (run == null) {
+            worker.strangers.add(running.run());
+            mCluster.stopStranger(worker, running.run());
+            return;
+        }
+        run.task.step.saveCheckpoint(run.task, running.checkpoint());
+        if (run.phase == Phase.STARTING || run.phase == Phase.UNCONFIRMED) {
+            run.phase = Phase.RUNNING;
+            run.confirmedAt = now;
+            run.workingSince = now;
+            run.progressAt = now;
+            run.percent = running.percent();
+        }
+        if (running.percent() > run.percent) {
+            run.percent = running.percent();
+            run.progressAt = now;
+        }
+    }
+
+    private void onEnd(Worker worker, Ended end, long now) {
+        Run run = worker.runs.get(end.run());
+        Job job = mCluster.active.get(end.run().task().job());
+        if (run != null) {
+            run.task.step.saveCheckpoint(run.task, end.checkpoint());
+            apply(run, end.how(), now);
+        } else if (job != null && end.how() == RunEnd.DONE) {
+            onLateDone(job, end, now);
+        }
+        // Saving a job's end covers all ends of its runs.
+        long version = job == null ? 0 : job.version;
+        worker.listedEnds.add(new ListedEnd(end.number(), end.run().task().job(), version));
+    }
+
+    /** Counts a success whose run was given up, unless a newer run has been recorded. */
+    private void onLateDone(Job job, Ended end, long now) {
+        Task task = find(job, end.run());
+        if (task != null
+                && !task.done
+                && task.run == null
+                && task.attempt == end.run().attempt()
+                && !task.step.plan.gang()) {
+            task.done = true;
+            mCluster.touch(job);
+            completeIfDone(job, now);
+        }
+    }
+
+    private void apply(Run run, RunEnd how, long now) {
+        StepRun step = run.task.step;
+        Job job = step.job;
+        boolean current = run.isCurrent() && mCluster.active.containsKey(job.id);
+        if (how == RunEnd.DONE && current && !step.plan.longRunning()) {
+            onDone(run, now);
+        } else if (how == RunEnd.FAILED && current) {
+            onFailed(run, now);
+        }
+        mCluster.release(run);
+        if (how != RunEnd.DONE) {
+            stopOthers(run, now);
+        }
+        completeIfDone(job, now);
+    }
+
+    private void onDone(Run run, long now) {
+        StepRun step = run.task.step;
+        run.worker.failedSteps.clear();
+        run.worker.quarantineMs = 0;
+        if (run.workingSince > 0 && run.task.attempt == 1) {
+            mCluster.durations.onDone(step.job.record.queue(), now - run.workingSince);
+        }
+        run.task.done = true;
+        if (step.plan.gang()) {
+            // One member's success is the success of all.
+            for (Task member : step.tasks) {
+                member.done = true;
+            }
+        }
+        mCluster.touch(step.job);
+    }
+
+    private void onFailed(Run run, long now) {
+        StepRun step = run.task.step;
+        run.task.failedOn.add(run.worker.id);
+        blame(run.worker, step, now);
+        int failures;
+        if (step.plan.gang()) {
+            if (step.failedAttempt < run.ref.attempt()) {
+                step.failedAttempt = run.ref.attempt();
+                step.gangFailures++;
+            }
+            failures = step.gangFailures;
+        } else {
+            failures = ++run.task.failures;
+        }
+        mCluster.touch(step.job);
+        if (!step.plan.longRunning() && failures >= step.job.queue.maxAttempts()) {
+            mCluster.end(step.job, WorkState.FAILED, now);
+        }
+    }
+
+    private void onLost(Run run, long now) {
+        mCluster.release(run);
+        stopOthers(run, now);
+    }
+
+    private void stopOthers(Run run, long now) {
+        StepRun step = run.task.step;
+        if (step.plan.gang() && !run.task.done) {
+            mCluster.stopGang(step, run.ref.attempt(), now);
+        }
+    }
+
+    private void completeIfDone(Job job, long now) {
+        if (mCluster.active.containsKey(job.id) && job.allDone()) {
+            mCluster.end(job, WorkState.COMPLETED, now);
+        }
+    }
+
+    private static void blame(Worker worker, StepRun step, long now) {
+        worker.failedSteps.add(step);
+        if (worker.failedSteps.size() >= BLAMED_STEPS) {
+            worker.quarantineMs =
+                    Math.min(
+                            MAX_QUARANTINE_MS,
+                            Math.max(FIRST_QUARANTINE_MS, worker.quarantineMs * 2));
+            worker.quarantinedUntil = now + worker.quarantineMs;
+        }
+    }
+
+    private static boolean isOverWhenAbsent(Run run, long askedAt) {
+        return switch (run.phase) {
+            case RECORDING, STARTING -> false;
+            case RUNNING, STOPPING -> askedAt >= run.confirmedAt;
+            // The owner's first look bars orders of earlier owners.
+            case UNCONFIRMED -> true;
+        };
+    }
+
+    private static Task find(Job job, RunRef run) {
+        List<StepRun> steps = job.occurrences.get(run.task().occurrence());
+        if (steps == null || run.task().step() >= steps.size()) {
+            return null;
+        }
+        List<Task> tasks = steps.get(run.task().step()).tasks;
+        return run.task().index() < tasks.size() ? tasks.get(run.task().index()) : null;
+    }
+}
--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepRun.java
@@ -0,0 +1,95 @@
+package org.lycheeroad.coordination.jobs;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.lycheeroad.state.work.StepPlan;
+import org.lycheeroad.state.work.TaskRef;
+
+/** One step of one occurrence of a job. */
+final class StepRun {
+    public final Job job;
+    public final int occurrence;
+    public final int number;
+    public final StepPlan plan;
+    public final List<Task> tasks = new ArrayList<>();
+    /** When the step's tasks could first have started; negative before that. */
+    public long readySince = -1;
+
+    /** The newest attempt whose failure was counted, for gangs. */
+    public int failedAttempt;
+
+    public int gangFailures;
+
+    StepRun(Job job, int occurrence, int number) {
+        this.job = job;
+        this.occurrence = occurrence;
+        this.number = number;
+        plan = job.record.plan().steps().get(number);
+        for (int i = 0; i < plan.count(); i++) {
+            tasks.add(new Task(new TaskRef(job.id, occurrence, number, i), this));
+        }
+    }
+
+    boolean isDone() {
+        for (Task task : tasks) {
+            if (!task.done) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Returns the tasks that wait for a start; for a gang only when all of it can start. */
+    List<Task> waiting() {
+        List<Task> waiting = new ArrayList<>();
+        for (Task task : tasks) {
+            if (task.isWaiting()) {
+                waiting.add(task);
+            }
+        }
+        return plan.gang() && waiting.size() < tasks.size() ? List.of() : waiting;
+    }
+
+    boolean hasWaiting() {
+        boolean some = false;
+        for (Task task : tasks) {
+            if (task.isWaiting()) {
+                some = true;
+            } else if (plan.gang()) {
+                return false;
+            }
+        }
+        return some;
+    }
+
+    /** Returns the number of the next attempt, which all members of a gang share. */
+    int nextAttempt(Task task) {
+        if (!plan.gang()) {
+            return task.attempt + 1;
+        }
+        int newest = 0;
+        for (Task member : tasks) {
+            newest = Math.max(newest, member.attempt);
+        }
+        return newest + 1;
+    }
+
+    /** Returns the progress to resume from; members of a gang share one value. */
+    String checkpointFor(Task task) {
+        if (!plan.checkpointing()) {
+            return "";
+        }
+        return plan.gang() ? gangCheckpoint : task.checkpoint;
+    }
+
+    /** The newest saved progress of any member of a gang. */
+    public String gangCheckpoint = "";
+
+    /** Keeps the newest saved progress. */
+    void saveCheckpoint(Task task, String checkpoint) {
+        if (!checkpoint.isEmpty()) {
+            task.checkpoint = checkpoint;
+            gangCheckpoint = checkpoint;
+        }
+    }
+}
--- a/entry/src/main/java/org/lycheeroad/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/lycheeroad/entry/EntryDaemon.java
@@ -21,7 +21,7 @@
 import org.lycheeroad.entry.duty.VmListPoller;
 import org.lycheeroad.entry.duty.VmListener;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.entry.requests.BufferBudget;
 import org.lycheeroad.entry.requests.Forwarder;
 import org.lycheeroad.entry.requests.RequestIntake;
--- a/entry/src/main/java/org/lycheeroad/entry/EntryMain.java
+++ b/entry/src/main/java/org/lycheeroad/entry/EntryMain.java
@@ -18,7 +18,7 @@
 import org.lycheeroad.entry.control.ControlSettings;
 import org.lycheeroad.entry.control.StoreControlPlane;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.entry.settings.EntryOptions;
 import org.lycheeroad.entry.settings.EntrySettings;
 import org.lycheeroad.entry.settings.SettingsException;
--- a/entry/src/main/java/org/lycheeroad/entry/api/GangApi.java
+++ b/entry/src/main/java/org/lycheeroad/entry/api/GangApi.java
@@ -11,7 +11,7 @@
 import java.util.function.Function;
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.control.JobWrite;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.api.GangRequest;
 import org.lycheeroad.protocol.api.GangStatus;
 import org.lycheeroad.protocol.api.Problem;
--- a/entry/src/main/java/org/lycheeroad/entry/api/OperatorApi.java
+++ b/entry/src/main/java/org/lycheeroad/entry/api/OperatorApi.java
@@ -8,7 +8,7 @@
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.control.SaveResult;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.table.OperatorTable;
--- a/entry/src/main/java/org/lycheeroad/entry/duty/PlacementDuty.java
+++ b/entry/src/main/java/org/lycheeroad/entry/duty/PlacementDuty.java
@@ -16,7 +16,7 @@
 import org.lycheeroad.entry.control.ControlListener;
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.worker.OrderResult;
 import org.lycheeroad.protocol.worker.OrdersAnswer;
 import org.lycheeroad.protocol.worker.OrdersRequest;
--- a/entry/src/main/java/org/lycheeroad/entry/duty/VmListPoller.java
+++ b/entry/src/main/java/org/lycheeroad/entry/duty/VmListPoller.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.lycheeroad.coordination.membership.ListedEntry;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.vm.VmInfo;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
--- a/entry/src/main/java/org/lycheeroad/entry/requests/Forwarder.java
+++ b/entry/src/main/java/org/lycheeroad/entry/requests/Forwarder.java
@@ -11,7 +11,7 @@
 import org.lycheeroad.coordination.routing.RoutingEvent;
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.id.RegionId;
--- a/entry/src/test/java/org/lycheeroad/entry/RunningEntry.java
+++ b/entry/src/test/java/org/lycheeroad/entry/RunningEntry.java
@@ -20,7 +20,7 @@
 import org.lycheeroad.coordination.routing.FairRequestRouter;
 import org.lycheeroad.coordination.routing.RouterSettings;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.entry.settings.EntryOptions;
 import org.lycheeroad.entry.settings.EntrySettings;
 import org.lycheeroad.protocol.json.Json;
--- a/entry/src/test/java/org/lycheeroad/entry/api/GangApiTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/api/GangApiTest.java
@@ -12,7 +12,7 @@
 import org.lycheeroad.entry.FakeControlPlane;
 import org.lycheeroad.entry.control.ControlListener;
 import org.lycheeroad.entry.control.JobWrite;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.api.GangStatus;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.state.id.EntryId;
--- a/entry/src/test/java/org/lycheeroad/entry/api/OperatorApiTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/api/OperatorApiTest.java
@@ -15,7 +15,7 @@
 import org.lycheeroad.entry.FakeControlPlane;
 import org.lycheeroad.entry.control.SaveResult;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.time.HybridClock;
--- a/entry/src/test/java/org/lycheeroad/entry/duty/PlacementDutyTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/duty/PlacementDutyTest.java
@@ -21,7 +21,7 @@
 import org.lycheeroad.entry.FakeControlPlane;
 import org.lycheeroad.entry.control.ControlListener;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.id.FailureDomainId;
--- a/entry/src/test/java/org/lycheeroad/entry/duty/UnchangedReportsTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/duty/UnchangedReportsTest.java
@@ -17,7 +17,7 @@
 import org.lycheeroad.entry.FakeControlPlane;
 import org.lycheeroad.entry.RunningEntry;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.entry.events.EventLog;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.worker.ReportVersion;
 import org.lycheeroad.state.id.EntryId;
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/package-info.java
@@ -0,0 +1,2 @@
+/** Keeps the newest configuration of the operators. */
+package org.lycheeroad.scheduler.config;
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobStore.java
@@ -0,0 +1,106 @@
+package org.lycheeroad.scheduler.intake;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lycheeroad.protocol.json.Json;
+import org.lycheeroad.protocol.json.JsonException;
+import org.lycheeroad.scheduler.StoreKeys;
+import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.MetadataStore.Commit;
+import org.lycheeroad.scheduler.port.MetadataStore.CommitResult;
+import org.lycheeroad.scheduler.port.MetadataStore.Condition;
+import org.lycheeroad.scheduler.port.MetadataStore.Item;
+import org.lycheeroad.scheduler.port.MetadataStore.Write;
+import org.lycheeroad.scheduler.port.StoreException;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.ProgressRecord;
+import org.lycheeroad.state.work.WorkState;
+
+/** Writes accepted jobs and cancellations to the store; repeating a write has no further effect. */
+public final class JobStore {
+    private static final ByteString CANCELLED = ByteString.copyFromUtf8("1");
+
+    private final MetadataStore mStore;
+
+    public JobStore(MetadataStore store) {
+        mStore = store;
+    }
+
+    /** Stores a job unless the store has it. */
+    public CompletableFuture<StoreOutcome> accept(JobId id, JobRecord record) {
+        ByteString value = ByteString.copyFromUtf8(Json.write(record));
+        String key = StoreKeys.job(id);
+        Commit commit =
+                new Commit(
+                        List.of(new Condition(key, 0)),
+                        List.of(new Write(key, value, 0)),
+                        List.of());
+        // A conflict means that the job is stored: it has come before.
+        return mStore.commit(commit).handle((result, e) -> e == null ? StoreOutcome.STORED : of(e));
+    }
+
+    /** Stores the cancellation of a job. */
+    public CompletableFuture<StoreOutcome> cancel(JobId id) {
+        return mStore.read(StoreKeys.job(id))
+                .thenCompose(item -> item.isEmpty() ? noJob() : writeCancel(id, item.get()))
+                .handle((outcome, e) -> e == null ? outcome : of(e));
+    }
+
+    /** Reads a job's state; empty if the store has no such job. */
+    public CompletableFuture<Optional<WorkState>> state(JobId id) {
+        var job = mStore.read(StoreKeys.job(id));
+        var progress = mStore.read(StoreKeys.progress(id));
+        var cancel = mStore.read(StoreKeys.cancel(id));
+        return CompletableFuture.allOf(job, progress, cancel)
+                .thenApply(done -> state(job.join(), progress.join(), cancel.join()));
+    }
+
+    private static Optional<WorkState> state(
+            Optional<Item> job, Optional<Item> progress, Optional<Item> cancel) {
+        if (job.isEmpty()) {
+            return Optional.empty();
+        }
+        WorkState state = WorkState.QUEUED;
+        if (progress.isPresent()) {
+            try {
+                String text = progress.get().value().toStringUtf8();
+                ProgressRecord record = Json.read(text, ProgressRecord.class);
+                state = record.state();
+                if (!state.isEnded() && !record.tasks().isEmpty()) {
+                    state = WorkState.ACTIVE;
+                }
+            } catch (JsonException e) {
+                throw new IllegalStateException("progress of a job cannot be read", e);
+            }
+        }
+        return Optional.of(
+                cancel.isPresent() && !state.isEnded() ? WorkState.CANCELLED : state);
+    }
+
+    private CompletableFuture<StoreOutcome> writeCancel(JobId id, Item job) {
+        Commit commit =
+                new Commit(
+                        List.of(new Condition(job.key(), job.revision())),
+                        List.of(new Write(StoreKeys.cancel(id), CANCELLED, 0)),
+                        List.of());
+        return mStore.commit(commit)
+                .thenApply(
+                        result ->
+                                result instanceof CommitResult.Committed
+                                        ? StoreOutcome.STORED
+                                        : StoreOutcome.NO_JOB);
+    }
+
+    private static CompletableFuture<StoreOutcome> noJob() {
+        return CompletableFuture.completedFuture(StoreOutcome.NO_JOB);
+    }
+
+    private static StoreOutcome of(Throwable failure) {
+        return StoreException.kindOf(failure) == StoreException.Kind.REFUSED
+                ? StoreOutcome.REFUSED
+                : StoreOutcome.UNKNOWN;
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/package-info.java
@@ -0,0 +1,2 @@
+/** Serves callers: accepts jobs, shows their state and cancels them. */
+package org.lycheeroad.scheduler.intake;
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -0,0 +1,59 @@
+package org.lycheeroad.scheduler.log;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/** The counters and latency histograms of a daemon. */
+public final class NodeMetrics {
+    private final PrometheusMeterRegistry mRegistry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Counter mLooks = mRegistry.counter("lycheeroad_looks");
+    private final Timer mOrders = timer("lycheeroad_order_latency");
+    private final Timer mAccepts = timer("lycheeroad_accept_latency");
+
+    /** Counts a look at a worker. */
+    public void look() {
+        mLooks.increment();
+    }
+
+    /** Notes how long an order took. */
+    public void orderLatency(long ms) {
+        mOrders.record(ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Notes how long a caller's call took. */
+    public void callLatency(long ms) {
+        mAccepts.record(ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** Counts the answer to a caller. */
+    public void answered(String call, int status) {
+        mRegistry
+                .counter("lycheeroad_answers", "call", call, "status", Integer.toString(status))
+                .increment();
+    }
+
+    /** Counts a call to the store. */
+    public void storeCall(String call, String outcome) {
+        mRegistry.counter("lycheeroad_store_calls", "call", call, "outcome", outcome).increment();
+    }
+
+    /** Shows a value that is read when the metrics are. */
+    public void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).strongReference(true).register(mRegistry);
+    }
+
+    /** Returns all metrics as text. */
+    public String scrape() {
+        return mRegistry.scrape();
+    }
+
+    private Timer timer(String name) {
+        return Timer.builder(name).publishPercentiles(0.5, 0.99).register(mRegistry);
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/package-info.java
@@ -0,0 +1,2 @@
+/** Structured logs and metrics of the daemon. */
+package org.lycheeroad.scheduler.log;
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -0,0 +1,281 @@
+package org.lycheeroad.scheduler.owner;
+
+import com.google.protobuf.ByteString;
+import java.util.List;
+import java.util.Optional;
+import org.lycheeroad.protocol.json.Json;
+import org.lycheeroad.protocol.json.JsonException;
+import org.lycheeroad.scheduler.NodeSettings;
+import org.lycheeroad.scheduler.PrefixWatch;
+import org.lycheeroad.scheduler.StoreKeys;
+import org.lycheeroad.scheduler.Strand;
+import org.lycheeroad.scheduler.log.Events;
+import org.lycheeroad.scheduler.port.Clock;
+import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.MetadataStore.Commit;
+import org.lycheeroad.scheduler.port.MetadataStore.CommitResult;
+import org.lycheeroad.scheduler.port.MetadataStore.Condition;
+import org.lycheeroad.scheduler.port.MetadataStore.Item;
+import org.lycheeroad.scheduler.port.MetadataStore.Write;
+import org.lycheeroad.state.event.EventCode;
+
+/**
+ * Elects the owner: the VM whose record stands in the store under a lease.
+ *
+ * <p>Each election raises the epoch in the same commit, so that no epoch is used twice. Each term
+ * has a lease of its own.
+ */
+public final class Election {
+    /** What the election tells, on its strand. */
+    public interface Listener {
+        /** This VM is owner. */
+        void onElected(Term term);
+
+        /** This VM is no longer owner. */
+        void onLost(Term term);
+    }
+
+    /** The time after which a dead owner is replaced; several times a slow store's answer. */
+    private static final long LEASE_MS = 2_000;
+
+    private static final long RENEW_MS = 450;
+
+    /** Covers the store's own clock and the rounding of its timers. */
+    private static final long LEASE_MARGIN_MS = 150;
+
+    private static final long OWNER_WATCH_MS = 10_000;
+
+    /** How long VMs far from the store leave the election to nearer ones, per ms of distance. */
+    private static final long DELAY_PER_RTT = 6;
+
+    private static final long MAX_DELAY_MS = 900;
+    private static final long RETRY_MS = 200;
+
+    private final MetadataStore mStore;
+    private final Strand mStrand;
+    private final NodeSettings mSettings;
+    private final Clock mClock;
+    private final Events mEvents;
+    private final Listener mListener;
+    private final long mIncarnation;
+    private final PrefixWatch mWatch;
+    private volatile Optional<OwnerRecord> mOwner = Optional.empty();
+    private Term mTerm;
+    private boolean mKnown;
+    private boolean mCampaigning;
+    private boolean mStopped;
+    private long mRttMs = 20;
+
+    public Election(
+            MetadataStore store,
+            Strand strand,
+            NodeSettings settings,
+            Clock clock,
+            Events events,
+            Listener listener) {
+        mStore = store;
+        mStrand = strand;
+        mSettings = settings;
+        mClock = clock;
+        mEvents = events;
+        mListener = listener;
+        mIncarnation = clock.wallMs();
+        mWatch = new PrefixWatch(store, strand, StoreKeys.OWNER, OWNER_WATCH_MS, new OwnerKey());
+    }
+
+    public void start() {
+        mStrand.execute(mWatch::start);
+    }
+
+    /** Gives up the ownership at once and takes part in no further election. */
+    public void resign() {
+        mStrand.execute(
+                () -> {
+                    mStopped = true;
+                    mWatch.stop();
+                    Term term = mTerm;
+                    if (term != null) {
+                        lose("shutdown");
+                        mStrand.whenDone(mStore.endLease(term.lease()), (ended, e) -> {});
+                    }
+                });
+    }
+
+    /** Returns the owner that the store named last. */
+    public Optional<OwnerRecord> owner() {
+        return mOwner;
+    }
+
+    /** Returns whether an owner is this process. */
+    public boolean isSelf(OwnerRecord owner) {
+        return owner.name().equals(mSettings.name()) && owner.incarnation() == mIncarnation;
+    }
+
+    /** Ends the term because a worker or the store has shown a newer owner. */
+    public void onSuperseded(Term term) {
+        mStrand.execute(
+                () -> {
+                    if (mTerm == term) {
+                        lose("superseded");
+                        mStrand.whenDone(
+                                mStore.endLease(term.lease()), (ended, e) -> considerCampaign());
+                    }
+                });
+    }
+
+    private void considerCampaign() {
+        if (mKnown && mOwner.isEmpty() && mTerm == null && !mCampaigning && !mStopped) {
+            mCampaigning = true;
+            long delay = Math.min(MAX_DELAY_MS, (mRttMs - 1) * DELAY_PER_RTT);
+            mStrand.schedule(Math.max(0, delay), this::campaign);
+        }
+    }
+
+    private void campaign() {
+        if (mOwner.isPresent() || mStopped) {
+            mCampaigning = false;
+            return;
+        }
+        long asked = mClock.steadyMs();
+        mStrand.whenDone(
+                mStore.read(StoreKeys.EPOCH),
+                (item, e) -> {
+                    if (e != null) {
+                        retry();
+                        return;
+                    }
+                    mRttMs = Math.max(1, mClock.steadyMs() - asked);
+                    grant(item);
+                });
+    }
+
+    private void grant(Optional<Item> epochItem) {
+        long epoch;
+        try {
+            epoch = epochItem.isEmpty() ? 0 : Long.parseLong(epochItem.get().value().toStringUtf8());
+        } catch (NumberFormatException e) {
+            mEvents.record(EventCode.RECORD_UNREADABLE, "", "key=" + StoreKeys.EPOCH);
+            retry();
+            return;
+        }
+        long asked = mClock.steadyMs();
+        mStrand.whenDone(
+                mStore.grantLease(Math.max(LEASE_MS, mSettings.minLeaseMs())),
+                (lease, e) -> {
+                    if (e != null) {
+                        retry();
+                    } else {
+                        claim(epoch + 1, epochItem.map(Item::revision).orElse(0L), lease, asked);
+                    }
+                });
+    }
+
+    private void claim(long epoch, long epochRevision, long lease, long asked) {
+        OwnerRecord record =
+                new OwnerRecord(mSettings.name(), mIncarnation, epoch, mSettings.peer());
+        Commit commit =
+                new Commit(
+                        List.of(
+                                new Condition(StoreKeys.OWNER, 0),
+                                new Condition(StoreKeys.EPOCH, epochRevision)),
+                        List.of(
+                                new Write(StoreKeys.EPOCH, ByteString.copyFromUtf8(Long.toString(epoch)), 0),
+                                new Write(StoreKeys.OWNER, ByteString.copyFromUtf8(Json.write(record)), lease)),
+                        List.of());
+        mStrand.whenDone(
+                mStore.commit(commit),
+                (result, e) -> {
+                    if (result instanceof CommitResult.Committed committed && !mStopped) {
+                        mCampaigning = false;
+                        mOwner = Optional.of(record);
+                        mTerm = new Term(epoch, committed.revision(), lease, mClock);
+                        mTerm.extend(asked + LEASE_MS - LEASE_MARGIN_MS);
+                        mEvents.record(EventCode.ROLE_GAINED, "", "epoch=" + epoch);
+                        mListener.onElected(mTerm);
+                        renewLater(mTerm);
+                    } else {
+                        // An election whose outcome is unknown ends with its lease.
+                        mStrand.whenDone(mStore.endLease(lease), (ended, x) -> retry());
+                    }
+                });
+    }
+
+    private void retry() {
+        mCampaigning = false;
+        mStrand.schedule(RETRY_MS, this::considerCampaign);
+    }
+
+    private void renewLater(Term term) {
+        mStrand.schedule(RENEW_MS, () -> renew(term));
+    }
+
+    private void renew(Term term) {
+        if (mTerm != term) {
+            return;
+        }
+        long asked = mClock.steadyMs();
+        mStrand.whenDone(
+                mStore.renewLease(term.lease()),
+                (alive, e) -> {
+                    if (mTerm != term) {
+                        return;
+                    }
+                    if (e == null && !alive) {
+                        lose("lease ended");
+                        mOwner = Optional.empty();
+                        considerCampaign();
+                        return;
+                    }
+                    if (e == null) {
+                        term.extend(asked + LEASE_MS - LEASE_MARGIN_MS);
+                    }
+                    renewLater(term);
+                });
+    }
+
+    private void lose(String reason) {
+        Term term = mTerm;
+        mTerm = null;
+        term.end();
+        mEvents.record(
+                EventCode.ROLE_LOST, "", "epoch=" + term.epoch() + " reason=\"" + reason + "\"");
+        mListener.onLost(term);
+    }
+
+    private final class OwnerKey implements PrefixWatch.Listener {
+        @Override
+        public void onSnapshot(List<Item> items) {
+            mKnown = true;
+            if (items.isEmpty()) {
+                onRemoved(StoreKeys.OWNER);
+            } else {
+                items.forEach(this::onItem);
+            }
+        }
+
+        @Override
+        public void onItem(Item item) {
+            try {
+                OwnerRecord owner = Json.read(item.value().toStringUtf8(), OwnerRecord.class);
+                mOwner = Optional.of(owner);
+                if (mTerm != null && owner.epoch() > mTerm.epoch()) {
+                    lose("epoch " + owner.epoch() + " stands");
+                }
+            } catch (JsonException e) {
+                mEvents.record(
+                        EventCode.RECORD_UNREADABLE,
+                        "",
+                        "key=" + item.key() + " reason=\"" + e.getMessage() + "\"");
+            }
+        }
+
+        @Override
+        public void onRemoved(String key) {
+            // While this VM holds a term, only its own lease tells whether the term stands.
+            if (mTerm == null) {
+                mOwner = Optional.empty();
+                considerCampaign();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/ProgressSaver.java
@@ -0,0 +1,147 @@
+package org.lycheeroad.scheduler.owner;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.lycheeroad.coordination.jobs.JobScheduler.Unsaved;
+import org.lycheeroad.protocol.json.Json;
+import org.lycheeroad.scheduler.StoreKeys;
+import org.lycheeroad.scheduler.Strand;
+import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.MetadataStore.Commit;
+import org.lycheeroad.scheduler.port.MetadataStore.CommitResult;
+import org.lycheeroad.scheduler.port.MetadataStore.Condition;
+import org.lycheeroad.scheduler.port.MetadataStore.Item;
+import org.lycheeroad.scheduler.port.MetadataStore.Write;
+import org.lycheeroad.state.id.JobId;
+
+/**
+ * Writes the progress of jobs, several in one commit and one commit at a time.
+ *
+ * <p>Each commit requires that the owner's key is unchanged and that each progress key is at the
+ * revision that this owner knows, so that neither an earlier owner nor a commit that is carried out
+ * late can overwrite newer progress.
+ */
+final class ProgressSaver {
+    /** What the saver tells, on the strand. */
+    interface Listener {
+        /** The store holds this version. */
+        void onSaved(Unsaved saved);
+
+        /** Another owner has been elected. */
+        void onSuperseded();
+    }
+
+    /** The store takes 32 rows in a commit; one condition is the owner's key. */
+    static final int MAX_JOBS = 30;
+
+    /** The most bytes of one commit, so that a commit passes a slow link within its timeout. */
+    private static final int MAX_BYTES = 200_000;
+
+    private static final long RETRY_MS = 100;
+
+    private final MetadataStore mStore;
+    private final Strand mStrand;
+    private final Term mTerm;
+    private final Listener mListener;
+    private final Map<JobId, Unsaved> mWaiting = new LinkedHashMap<>();
+    private final Map<JobId, Long> mRevisions = new HashMap<>();
+    private boolean mInFlight;
+    private boolean mStopped;
+
+    ProgressSaver(MetadataStore store, Strand strand, Term term, Listener listener) {
+        mStore = store;
+        mStrand = strand;
+        mTerm = term;
+        mListener = listener;
+    }
+
+    /** Notes at which revision a job's progress stands. */
+    void onLoaded(JobId job, long revision) {
+        mRevisions.put(job, revision);
+    }
+
+    /** Saves these and all that still waits. */
+    void save(List<Unsaved> unsaved) {
+        unsaved.forEach(u -> mWaiting.put(u.job(), u));
+        flush();
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    private void flush() {
+        if (mInFlight || mStopped || mWaiting.isEmpty() || !mTerm.mayAct()) {
+            retryLaterUnlessDone();
+            return;
+        }
+        List<Unsaved> batch = new ArrayList<>();
+        List<Condition> conditions = new ArrayList<>();
+        List<Write> writes = new ArrayList<>();
+        conditions.add(new Condition(StoreKeys.OWNER, mTerm.ownerRevision()));
+        int bytes = 0;
+        for (Unsaved unsaved : mWaiting.values()) {
+            ByteString value = ByteString.copyFromUtf8(Json.write(unsaved.progress()));
+            bytes += value.size();
+            if (batch.size() == MAX_JOBS || (!batch.isEmpty() && bytes > MAX_BYTES)) {
+                break;
+            }
+            String key = StoreKeys.progress(unsaved.job());
+            batch.add(unsaved);
+            conditions.add(new Condition(key, mRevisions.getOrDefault(unsaved.job(), 0L)));
+            writes.add(new Write(key, value, 0));
+        }
+        batch.forEach(u -> mWaiting.remove(u.job()));
+        mInFlight = true;
+        mStrand.whenDone(
+                mStore.commit(new Commit(conditions, writes, List.of())),
+                (result, e) -> onResult(batch, result, e));
+    }
+
+    private void retryLaterUnlessDone() {
+        if (!mInFlight && !mStopped && !mWaiting.isEmpty()) {
+            mStrand.schedule(RETRY_MS, this::flush);
+        }
+    }
+
+    private void onResult(List<Unsaved> batch, CommitResult result, Throwable failure) {
+        mInFlight = false;
+        if (mStopped) {
+            return;
+        }
+        if (failure != null) {
+            batch.forEach(u -> mWaiting.putIfAbsent(u.job(), u));
+            mStrand.schedule(RETRY_MS, this::flush);
+            return;
+        }
+        if (result instanceof CommitResult.Committed committed) {
+            batch.forEach(u -> mRevisions.put(u.job(), committed.revision()));
+            batch.forEach(mListener::onSaved);
+        } else if (result instanceof CommitResult.Conflict conflict) {
+            onConflict(batch, conflict.items());
+        }
+        flush();
+    }
+
+    /** A commit without an answer was carried out after all, or there is a newer owner. */
+    private void onConflict(List<Unsaved> batch, Map<String, Item> items) {
+        Item owner = items.get(StoreKeys.OWNER);
+        if (owner == null || owner.revision() != mTerm.ownerRevision()) {
+            mStopped = true;
+            mListener.onSuperseded();
+            return;
+        }
+        Consumer<Unsaved> adopt =
+                u -> {
+                    Item item = items.get(StoreKeys.progress(u.job()));
+                    mRevisions.put(u.job(), item == null ? 0 : item.revision());
+                    mWaiting.putIfAbsent(u.job(), u);
+                };
+        batch.forEach(adopt);
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -0,0 +1,310 @@
+package org.lycheeroad.scheduler.owner;
+
+import org.lycheeroad.coordination.jobs.JobAction;
+import org.lycheeroad.coordination.jobs.JobScheduler;
+import org.lycheeroad.coordination.jobs.OrderAnswer;
+import org.lycheeroad.scheduler.NodeSettings;
+import org.lycheeroad.scheduler.Strand;
+import org.lycheeroad.scheduler.log.Events;
+import org.lycheeroad.scheduler.log.NodeMetrics;
+import org.lycheeroad.scheduler.port.Clock;
+import org.lycheeroad.scheduler.port.WorkerGateway;
+import org.lycheeroad.scheduler.port.WorkerGateway.LookReply;
+import org.lycheeroad.scheduler.port.WorkerGateway.Reply;
+import org.lycheeroad.scheduler.port.WorkerGateway.Target;
+import org.lycheeroad.state.event.EventCode;
+import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.work.WorkerEntry;
+import org.lycheeroad.state.work.WorkerRuns;
+
+/**
+ * The owner's dealings with one worker: looks that extend its lease, starts and stops.
+ *
+ * <p>All methods run on the owner's strand.
+ */
+final class WorkerSession {
+    /** How long a busy worker waits for an end before it answers a look. */
+    private static final long LOOK_WAIT_MS = 1_000;
+
+    /** The least time between two looks that find nothing new. */
+    private static final long LOOK_PAUSE_MS = 150;
+
+    private static final long RETRY_MS = 250;
+
+    /** Looks at a silent worker without runs are as rare as its own entries. */
+    private static final long IDLE_RETRY_MS = 1_500;
+
+    /** The steady clocks of workers may be 2% slow. */
+    private static final double SLOW_CLOCK = 1.02;
+
+    /** Covers the way to the worker and the rounding of clocks. */
+    private static final long LAPSE_MARGIN_MS = 400;
+
+    private final WorkerGateway mGateway;
+    private final Strand mStrand;
+    private final JobScheduler mScheduler;
+    private final Term mTerm;
+    private final NodeSettings mSettings;
+    private final Clock mClock;
+    private final Events mEvents;
+    private final NodeMetrics mMetrics;
+    private final Runnable mOnFenced;
+
+    private WorkerEntry mEntry;
+    private boolean mStopped;
+    private boolean mLooking;
+    private boolean mSilent;
+    private long mNextLookAt;
+    private boolean mWakeSet;
+    /** The worker's clock less the own one; the way to the worker makes it a little low. */
+    private long mClockOffset;
+
+    private boolean mClockKnown;
+    /** The newest end that was logged, and the incarnation that numbered it. */
+    private long mNewestEnd;
+
+    private long mEndsBornMs;
+    /** When all leases that may have been granted have certainly ended. */
+    private long mLapsedAt;
+
+    WorkerSession(
+            WorkerEntry entry,
+            WorkerGateway gateway,
+            Strand strand,
+            JobScheduler scheduler,
+            Term term,
+            NodeSettings settings,
+            Clock clock,
+            Events events,
+            NodeMetrics metrics,
+            Runnable onFenced) {
+        mEntry = entry;
+        mGateway = gateway;
+        mStrand = strand;
+        mScheduler = scheduler;
+        mTerm = term;
+        mSettings = settings;
+        mClock = clock;
+        mEvents = events;
+        mMetrics = metrics;
+        mOnFenced = onFenced;
+        // An earlier owner may have extended the lease until its own term ended.
+        mLapsedAt = lapseAfter(clock.steadyMs());
+    }
+
+    WorkerId id() {
+        return mEntry.id();
+    }
+
+    void update(WorkerEntry entry) {
+        if (entry.bornMs() != mEntry.bornMs()) {
+            mClockKnown = false;
+        }
+        mEntry = entry;
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    /** Starts a look when one is due; called after each change. */
+    void pump() {
+        long now = mClock.steadyMs();
+        if (mStopped || mLooking || !mScheduler.needsLook(mEntry.id())) {
+            return;
+        }
+        if (now < mNextLookAt) {
+            wakeAt(mNextLookAt - now);
+            return;
+        }
+        if (!mTerm.mayAct()) {
+            wakeAt(RETRY_MS);
+            return;
+        }
+        look(now);
+    }
+
+    /** Tells the scheduler once all leases have certainly ended. */
+    void checkLapse() {
+        long now = mClock.steadyMs();
+        if (mSilent && now > mLapsedAt && mScheduler.hasRuns(mEntry.id())) {
+            mEvents.record(EventCode.WORKER_LAPSED, "", "worker=" + mEntry.id());
+            mScheduler.onLeaseLapsed(mEntry.id(), now);
+        }
+    }
+
+    void start(JobAction.Start start) {
+        if (!mTerm.mayAct() || start.bornMs() != mEntry.bornMs() || !mClockKnown) {
+            // Nothing was sent; the run is tried anew.
+            mScheduler.onStartAnswer(
+                    mEntry.id(), start.run(), OrderAnswer.EXPIRED, mClock.steadyMs());
+            return;
+        }
+        long sent = mClock.steadyMs();
+        mLapsedAt = lapseAfter(sent);
+        mEvents.record(
+                EventCode.ORDER_SENT,
+                start.run().task().job().value(),
+                "order=start run=" + start.run() + " worker=" + mEntry.id() + " epoch=" + mTerm.epoch());
+        mStrand.whenDone(
+                mGateway.start(
+                        target(),
+                        start.run(),
+                        start.spec(),
+                        start.checkpoint(),
+                        start.ticket(),
+                        leaseUntil(sent)),
+                (reply, e) -> {
+                    OrderAnswer answer = onReply(reply, "start", start.run().toString());
+                    mMetrics.orderLatency(mClock.steadyMs() - sent);
+                    if (!mStopped) {
+                        mScheduler.onStartAnswer(
+                                mEntry.id(), start.run(), answer, mClock.steadyMs());
+                    }
+                });
+    }
+
+    void stop(JobAction.Stop stop) {
+        if (!mTerm.mayAct()) {
+            return;
+        }
+        mEvents.record(
+                EventCode.ORDER_SENT,
+                stop.run().task().job().value(),
+                "order=stop run=" + stop.run() + " worker=" + mEntry.id());
+        mStrand.whenDone(
+                mGateway.stop(target(), stop.run()),
+                (reply, e) -> {
+                    OrderAnswer answer = onReply(reply, "stop", stop.run().toString());
+                    if (!mStopped) {
+                        mScheduler.onStopAnswer(
+                                mEntry.id(), stop.run(), answer, mClock.steadyMs());
+                    }
+                });
+    }
+
+    void throttle(JobAction.Throttle order) {
+        if (mTerm.mayAct()) {
+            mStrand.whenDone(
+                    mGateway.throttle(target(), order.run(), order.percent()),
+                    (reply, e) -> onReply(reply, "throttle", order.run().toString()));
+        }
+    }
+
+    private void look(long now) {
+        boolean busy = mScheduler.hasRuns(mEntry.id());
+        boolean extend = busy && mClockKnown;
+        if (extend) {
+            mLapsedAt = lapseAfter(now);
+        }
+        mLooking = true;
+        long bornMs = mEntry.bornMs();
+        mMetrics.look();
+        mStrand.whenDone(
+                mGateway.look(
+                        target(),
+                        mScheduler.observed(mEntry.id()),
+                        extend ? leaseUntil(now) : 0,
+                        extend && !mSilent ? LOOK_WAIT_MS : 0),
+                (reply, e) -> onLook(reply, now, bornMs));
+    }
+
+    private void onLook(LookReply reply, long askedAt, long bornMs) {
+        mLooking = false;
+        if (mStopped) {
+            return;
+        }
+        long now = mClock.steadyMs();
+        OrderAnswer answer = reply == null ? OrderAnswer.UNKNOWN : reply.answer();
+        if (answer == OrderAnswer.ACCEPTED) {
+            if (mSilent) {
+                mEvents.record(EventCode.WORKER_HEARD, "", "worker=" + mEntry.id());
+            }
+            mSilent = false;
+            if (bornMs == mEntry.bornMs()) {
+                mClockOffset = reply.runs().clockMs() - now;
+                mClockKnown = true;
+            }
+            recordEnds(reply.runs());
+            mScheduler.onRuns(mEntry.id(), reply.runs(), askedAt, now);
+            mNextLookAt = Math.max(now, askedAt + LOOK_PAUSE_MS);
+        } else if (answer == OrderAnswer.FENCED) {
+            mOnFenced.run();
+        } else {
+            onSilent(answer, now);
+        }
+        pump();
+    }
+
+    private void recordEnds(WorkerRuns runs) {
+        if (runs.bornMs() != mEndsBornMs) {
+            mEndsBornMs = runs.bornMs();
+            mNewestEnd = 0;
+        }
+        for (WorkerRuns.Ended end : runs.ended()) {
+            if (end.number() > mNewestEnd) {
+                mNewestEnd = end.number();
+                mEvents.record(
+                        EventCode.RUN_ENDED,
+                        end.run().task().job().value(),
+                        "run=" + end.run() + " worker=" + mEntry.id() + " how=" + end.how());
+            }
+        }
+    }
+
+    private void onSilent(OrderAnswer answer, long now) {
+        if (!mSilent) {
+            mSilent = true;
+            mEvents.record(
+                    EventCode.WORKER_UNREACHABLE,
+                    "",
+                    "worker=" + mEntry.id() + " answer=" + answer);
+        }
+        mScheduler.onWorkerSilent(mEntry.id());
+        mNextLookAt = now + (mScheduler.hasRuns(mEntry.id()) ? RETRY_MS : IDLE_RETRY_MS);
+    }
+
+    private OrderAnswer onReply(Reply reply, String order, String run) {
+        OrderAnswer answer = reply == null ? OrderAnswer.UNKNOWN : reply.answer();
+        if (answer == OrderAnswer.FENCED) {
+            mOnFenced.run();
+        }
+        if (answer != OrderAnswer.ACCEPTED) {
+            mEvents.record(
+                    EventCode.ORDER_REFUSED,
+                    "",
+                    "order=" + order + " run=" + run + " worker=" + mEntry.id() + " answer="
+                            + answer);
+        }
+        return answer;
+    }
+
+    private Target target() {
+        return new Target(mEntry.id(), mEntry.address(), mTerm.epoch());
+    }
+
+    private long leaseUntil(long now) {
+        return now + mClockOffset + mSettings.holdMaxMs();
+    }
+
+    private long lapseAfter(long now) {
+        return lapseAfter(now, mSettings.holdMaxMs());
+    }
+
+    private void wakeAt(long delayMs) {
+        if (!mWakeSet) {
+            mWakeSet = true;
+            mStrand.schedule(
+                    delayMs,
+                    () -> {
+                        mWakeSet = false;
+                        pump();
+                    });
+        }
+    }
+
+    /** Returns when a lease granted now has ended by any worker's clock. */
+    static long lapseAfter(long now, long holdMaxMs) {
+        return now + Math.round(holdMaxMs * SLOW_CLOCK) + LAPSE_MARGIN_MS;
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Calls between daemons. */
+package org.lycheeroad.scheduler.peer;
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/port/WorkerGateway.java
@@ -0,0 +1,55 @@
+package org.lycheeroad.scheduler.port;
+
+import java.util.concurrent.CompletableFuture;
+import org.lycheeroad.coordination.jobs.OrderAnswer;
+import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.WorkerRuns;
+
+/**
+ * Sends orders to workers.
+ *
+ * <p>Calls never complete exceptionally; a call without an answer has {@link OrderAnswer#UNKNOWN}.
+ */
+public interface WorkerGateway {
+    /** The answer that carries no clock. */
+    long NO_CLOCK = -1;
+
+    /** Where a worker is and which owner calls it. */
+    record Target(WorkerId worker, HostPort address, long epoch) {}
+
+    /** An answer to an order with the worker's clock in milliseconds. */
+    record Reply(OrderAnswer answer, long clockMs) {}
+
+    /** An answer to a look; {@code runs} is null unless the look was accepted. */
+    record LookReply(OrderAnswer answer, WorkerRuns runs) {}
+
+    /**
+     * Starts a run.
+     *
+     * @param leaseUntilMs when everything on the worker ends, on the worker's clock
+     */
+    CompletableFuture<Reply> start(
+            Target to,
+            RunRef run,
+            String spec,
+            String checkpoint,
+            String ticket,
+            long leaseUntilMs);
+
+    /** Stops a run and bars it from starting later. */
+    CompletableFuture<Reply> stop(Target to, RunRef run);
+
+    /** Sets the share of its speed at which a run works. */
+    CompletableFuture<Reply> throttle(Target to, RunRef run, int percent);
+
+    /**
+     * Lists runs and ends, and extends the lease.
+     *
+     * @param observed ends up to this number may be forgotten
+     * @param leaseUntilMs when everything on the worker ends, on the worker's clock; 0 to leave it
+     * @param waitMs how long the worker waits for an end
+     */
+    CompletableFuture<LookReply> look(Target to, long observed, long leaseUntilMs, long waitMs);
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/port/package-info.java
@@ -0,0 +1,2 @@
+/** What the scheduler needs from the platform that it runs on. */
+package org.lycheeroad.scheduler.port;
--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -23,6 +23,9 @@
     TABLE_SAVED(231, "table saved"),
     TABLE_CONFLICT(232, "table not saved because of another save"),
     TABLE_SAVE_REFUSED(233, "table not saved"),
+    CONFIG_IN_FORCE(234, "configuration in force"),
+    RECORD_UNREADABLE(235, "record cannot be read"),
+    SETTINGS_CHECKED(236, "settings checked again"),
     CLAIM_ABANDONED(240, "claim without an answer given up"),
 
     JOB_ACCEPTED(300, "job accepted"),
@@ -33,6 +36,10 @@
     ORDER_REFUSED(305, "order refused by a worker"),
     TOKEN_REFUSED(306, "worker obeys a newer placement owner"),
     WORKER_UNREACHABLE(307, "worker did not answer"),
+    WORKER_LAPSED(308, "leases of a silent worker have ended"),
+    WORKER_HEARD(309, "worker answers again"),
+    JOBS_LOADED(310, "jobs loaded from the store"),
+    RUN_ENDED(311, "run ended"),
 
     ATTEMPT_STARTED(400, "attempt at a target started"),
     ATTEMPT_ENDED(401, "attempt at a target ended"),
--- /dev/null
+++ b/state/src/main/java/org/lycheeroad/state/work/WorkState.java
@@ -0,0 +1,15 @@
+package org.lycheeroad.state.work;
+
+/** The state of a job as callers see it. */
+public enum WorkState {
+    QUEUED,
+    ACTIVE,
+    COMPLETED,
+    FAILED,
+    CANCELLED;
+
+    /** Returns whether the job runs no more tasks. */
+    public boolean isEnded() {
+        return this == COMPLETED || this == FAILED || this == CANCELLED;
+    }
+}
--- /dev/null
+++ b/state/src/main/java/org/lycheeroad/state/work/package-info.java
@@ -0,0 +1,2 @@
+/** Jobs of steps, their tasks and runs, and the configuration that governs them. */
+package org.lycheeroad.state.work;
--- a/entry/src/main/java/org/lycheeroad/entry/events/EventLog.java
+++ b/transport/src/main/java/org/lycheeroad/transport/events/EventLog.java
@@ -1,4 +1,4 @@
-package org.lycheeroad.entry.events;
+package org.lycheeroad.transport.events;
 
 import java.util.ArrayList;
 import java.util.List;
--- /dev/null
+++ b/transport/src/main/java/org/lycheeroad/transport/events/package-info.java
@@ -0,0 +1,2 @@
+/** The log of numbered events. */
+package org.lycheeroad.transport.events;
--- a/transport/src/main/java/org/lycheeroad/transport/http/HttpCall.java
+++ b/transport/src/main/java/org/lycheeroad/transport/http/HttpCall.java
@@ -28,7 +28,7 @@
     private final QueryStringDecoder mUri;
     private final Map<String, String> mHeaders;
     private final byte[] mBody;
-    private final boolean mKeepAlive;
+    private volatile boolean mKeepAlive;
     private final AtomicBoolean mAnswered = new AtomicBoolean();
 
     HttpCall(ChannelHandlerContext context, FullHttpRequest request) {
@@ -82,6 +82,11 @@
         mContext.channel().closeFuture().addListener(f -> action.run());
     }
 
+    /** Closes the connection once the answer is written, which the answer announces. */
+    public void closeAfterAnswer() {
+        mKeepAlive = false;
+    }
+
     /** Closes the connection without an answer. */
     public void abort() {
         mAnswered.set(true);
