Commit at most 15 jobs in one store transaction

Cause: after a restart of all VMs the owner saved 30 jobs in one commit. Ruled out: election and takeover, which had ended within 0.3 s.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/ProgressSaver.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/ProgressSaver.java
@@ -36,8 +36,8 @@
         void onSuperseded();
     }
 
-    /** The store takes 32 rows in a commit; one condition is the owner's key. */
-    static final int MAX_JOBS = 30;
+    /** The store takes 32 rows in a commit: the owner's key, and a condition and a write a job. */
+    static final int MAX_JOBS = 15;
 
     /** The most bytes of one commit, so that a commit passes a slow link within its timeout. */
     private static final int MAX_BYTES = 200_000;
