--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -37,6 +37,9 @@
     /** What the store has to keep of a job. */
     public record Unsaved(JobId job, long version, ProgressRecord progress) {}
 
+    /** How long before the last useful start an urgent step reclaims room: a stop and a start. */
+    private static final long RECLAIM_BEFORE_MS = 900;
+
     private final SchedulerSettings mSettings;
     private final Cluster mCluster = new Cluster();
     private final RunTracker mTracker = new RunTracker(mCluster);
@@ -179,7 +182,7 @@
         }
         waiting.sort(Comparator.comparing(ranks::get));
         for (StepRun step : waiting) {
-            placeStep(step, guaranteed.contains(step.job), now);
+            placeStep(step, guaranteed.contains(step.job), now, wallMs);
         }
         forgetOldJobs(now);
     }
@@ -376,12 +379,12 @@
         return most;
     }
 
-    private void placeStep(StepRun step, boolean guaranteed, long now) {
+    private void placeStep(StepRun step, boolean guaranteed, long now, long wallMs) {
         List<Task> tasks = step.waiting();
         if (tasks.isEmpty()) {
             return;
         }
-        boolean remote = mayRunRemotely(step, guaranteed, now);
+        boolean remote = mayRunRemotely(step, guaranteed, now, wallMs);
         Collection<Worker> workers = mCluster.workers.values();
         Map<Task, Worker> places = Placement.place(step, tasks, workers, remote, now);
         int attempt = 0;
@@ -397,18 +400,31 @@
                 task.run.recordVersion = step.job.version;
             }
         }
-        if (guaranteed && places.size() < tasks.size() && !mReclaim.hasClaims(step)) {
-            mReclaim.reclaim(step, step.waiting(), workers, now);
+        if (places.size() < tasks.size()
+                && mayReclaim(step, guaranteed, now, wallMs)
+                && !mReclaim.hasClaims(step)) {
+            mReclaim.reclaim(step, step.waiting(), workers, remote, now);
+        }
+    }
+
+    /** Returns whether a step may run away from its data or across racks. */
+    private boolean mayRunRemotely(StepRun step, boolean guaranteed, long now, long wallMs) {
+        if (guaranteed && now - step.readySince > mSettings.reclaimMs() / 2) {
+            return true;
         }
+        return mOrder.shouldRunRemotely(step, mSettings.remoteFactor(), now, wallMs)
+                || !Placement.hasRack(step, mCluster.workers.values());
     }
 
-    /** Running remotely multiplies the time, so it is worth a wait of about the time it costs. */
-    private boolean mayRunRemotely(StepRun step, boolean guaranteed, long now) {
+    /** Returns whether less urgent runs should be stopped for a step. */
+    private boolean mayReclaim(StepRun step, boolean guaranteed, long now, long wallMs) {
         if (guaranteed) {
             return true;
         }
-        long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
-        return now - step.readySince > expected;
+        long latest = mOrder.latestStart(step, now, wallMs);
+        return step.job.queue.priority() == 0
+                && latest >= now
+                && latest - now < RECLAIM_BEFORE_MS;
     }
 
     private static void useClaim(Worker worker, StepRun step) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -74,6 +74,27 @@
                 && !(step.plan.serves() && worker.hasFilling());
     }
 
+    /** Returns whether some rack, were it empty, would hold all of a step at full speed. */
+    static boolean hasRack(StepRun step, Collection<Worker> workers) {
+        String near = step.plan.dataRack();
+        boolean oneRack = step.plan.rackLocal() && step.plan.count() > 1;
+        if (near.isEmpty() && !oneRack) {
+            return true;
+        }
+        Map<RackId, Integer> racks = new HashMap<>();
+        for (Worker worker : workers) {
+            if (worker.listed
+                    && !worker.entry.draining()
+                    && allows(step, worker)
+                    && (near.isEmpty() || near.equals(worker.entry.rack().value()))) {
+                int fits = fits(step, worker, worker.entry.capacity(), step.plan.count());
+                racks.merge(worker.entry.rack(), fits, Integer::sum);
+            }
+        }
+        int needed = oneRack || step.plan.gang() ? step.plan.count() : 1;
+        return racks.values().stream().anyMatch(fits -> fits >= needed);
+    }
+
     /** Returns how many tasks of a step fit on a worker with some room. */
     static int fits(StepRun step, Worker worker, Resources room, int most) {
         int bound = most;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
@@ -3,20 +3,31 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.lycheeroad.coordination.jobs.Run.Phase;
 import org.lycheeroad.coordination.jobs.Worker.Claim;
+import org.lycheeroad.state.id.RackId;
 import org.lycheeroad.state.work.Resources;
 
-/** Frees room for urgent steps within their team's guarantee by stopping less urgent runs. */
+/**
+ * Frees room for urgent steps by stopping less urgent runs.
+ *
+ * <p>Room is freed where the least work is lost, on one rack for steps that need one, and is kept
+ * for the step until the stopped runs have ended.
+ */
 final class Reclaim {
     /** How long room is kept before the choice is made anew; stops take some 200-400 ms. */
     private static final long CLAIM_MS = 1_000;
 
-    /** Stopping a run that saves its progress loses little beside one that does not. */
-    private static final double SAVED_SHARE = 0.2;
+    /** What a run that saves its progress loses at most: work since the last save, and a restart. */
+    private static final long SAVED_LOSS_MS = 1_000;
+
+    /** Weighs an accelerator against a core. */
+    private static final double CORES_PER_ACCELERATOR = 8;
 
     private final Cluster mCluster;
 
@@ -42,87 +53,152 @@
         return false;
     }
 
-    /** Stops what is in the way of a step's waiting tasks and keeps the room for them. */
-    void reclaim(StepRun step, List<Task> waiting, Collection<Worker> workers, long now) {
+    /**
+     * Stops what is in the way of a step's waiting tasks and keeps the room for them.
+     *
+     * @param remote whether tasks may run away from their data or across racks
+     */
+    void reclaim(
+            StepRun step,
+            List<Task> waiting,
+            Collection<Worker> workers,
+            boolean remote,
+            long now) {
         List<Worker> usable = new ArrayList<>();
         for (Worker worker : workers) {
             if (worker.isUsable(now) && Placement.allows(step, worker)) {
                 usable.add(worker);
             }
         }
-        Set<Run> victims = new HashSet<>();
-        for (int i = 0; i < waiting.size(); i++) {
+        Plan best = null;
+        for (List<Worker> group : groups(step, usable)) {
+            best = better(best, plan(step, waiting.size(), group, now));
+        }
+        if (best == null && remote) {
+            best = plan(step, waiting.size(), usable, now);
+        }
+        if (best != null) {
+            best.places.forEach((worker, tasks) -> claim(worker, step, tasks, now));
+            for (Run victim : best.victims) {
+                mCluster.stop(victim, now);
+                if (victim.task.step.plan.gang()) {
+                    mCluster.stopGang(victim.task.step, victim.ref.attempt(), now);
+                }
+            }
+        }
+    }
+
+    /** Where the tasks go and what is stopped for them. */
+    private record Plan(Map<Worker, Integer> places, Set<Run> victims, double cost) {}
+
+    /** The workers among which all tasks must be placed to run at full speed. */
+    private static List<List<Worker>> groups(StepRun step, List<Worker> usable) {
+        String near = step.plan.dataRack();
+        boolean oneRack = step.plan.rackLocal() && step.plan.count() > 1;
+        if (near.isEmpty() && !oneRack) {
+            return List.of(usable);
+        }
+        Map<RackId, List<Worker>> racks = new LinkedHashMap<>();
+        for (Worker worker : usable) {
+            if (near.isEmpty() || near.equals(worker.entry.rack().value())) {
+                racks.computeIfAbsent(worker.entry.rack(), k -> new ArrayList<>()).add(worker);
+            }
+        }
+        return List.copyOf(racks.values());
+    }
+
+    private static Plan better(Plan one, Plan other) {
+        return one == null || (other != null && other.cost < one.cost) ? other : one;
+    }
+
+    private Plan plan(StepRun step, int tasks, List<Worker> group, long now) {
+        Map<Worker, Integer> places = new LinkedHashMap<>();
+        Map<Run, Boolean> victims = new LinkedHashMap<>();
+        Map<Worker, Resources> room = new HashMap<>();
+        group.forEach(w -> room.put(w, w.freeFor(step).plus(stopping(w))));
+        double cost = 0;
+        for (int i = 0; i < tasks; i++) {
             Choice best = null;
-            for (Worker worker : usable) {
-                Choice choice = choose(step, worker, victims);
+            for (Worker worker : group) {
+                int placed = places.getOrDefault(worker, 0);
+                Choice choice = choose(step, worker, room.get(worker), placed, victims, now);
                 if (choice != null && (best == null || choice.cost < best.cost)) {
                     best = choice;
                 }
             }
             if (best == null) {
-                break;
+                return null;
             }
-            victims.addAll(best.victims);
-            claim(best.worker, step, now);
-        }
-        for (Run victim : victims) {
-            mCluster.stop(victim, now);
-            if (victim.task.step.plan.gang()) {
-                mCluster.stopGang(victim.task.step, victim.ref.attempt(), now);
+            Resources left = room.get(best.worker).minus(step.plan.reserved());
+            for (Run victim : best.victims) {
+                victims.put(victim, true);
+                left = left.plus(victim.room);
             }
+            room.put(best.worker, left);
+            places.merge(best.worker, 1, Integer::sum);
+            cost += best.cost;
         }
+        return new Plan(places, Set.copyOf(victims.keySet()), cost);
     }
 
+    /** What one more task costs on a worker. */
     private record Choice(Worker worker, List<Run> victims, double cost) {}
 
-    /** Returns what has to be stopped on a worker for one more task, or null if that is no use. */
-    private static Choice choose(StepRun step, Worker worker, Set<Run> already) {
-        Resources need = step.plan.reserved();
-        if (Placement.fits(step, worker, need.plus(claimed(worker, step)), 1) == 0) {
+    private Choice choose(
+            StepRun step,
+            Worker worker,
+            Resources room,
+            int placed,
+            Map<Run, Boolean> victims,
+            long now) {
+        int most = step.plan.maxPerWorker();
+        if (most > 0 && worker.runsOf(step) + placed >= most) {
             return null;
         }
-        Resources room = worker.freeFor(step).minus(claimed(worker, step));
-        List<Run> candidates = new ArrayList<>();
-        for (Run run : worker.runs.values()) {
-            if (run.phase == Phase.STOPPING || already.contains(run)) {
-                room = room.plus(run.room);
-            } else if (isStoppable(step, run)) {
-                candidates.add(run);
-            }
-        }
-        candidates.sort(Comparator.comparingDouble(Reclaim::loss));
-        List<Run> victims = new ArrayList<>();
+        Resources need = step.plan.reserved();
+        Resources left = room;
+        List<Run> chosen = new ArrayList<>();
         double cost = 0;
-        for (Run run : candidates) {
-            if (need.fitsIn(room)) {
-                break;
+        if (!need.fitsIn(left)) {
+            for (Run run : byLoss(step, worker, now)) {
+                if (victims.containsKey(run)) {
+                    continue;
+                }
+                left = left.plus(run.room);
+                chosen.add(run);
+                cost += loss(run, now);
+                if (need.fitsIn(left)) {
+                    break;
+                }
             }
-            room = room.plus(run.room);
-            victims.add(run);
-            cost += loss(run);
         }
-        return need.fitsIn(room) ? new Choice(worker, victims, cost) : null;
+        return need.fitsIn(left) ? new Choice(worker, chosen, cost) : null;
     }
 
-    private static Resources claimed(Worker worker, StepRun step) {
-        Resources claimed = Resources.NONE;
-        for (Claim claim : worker.claims) {
-            if (claim.step == step) {
-                claimed = claimed.plus(claim.room());
+    private List<Run> byLoss(StepRun step, Worker worker, long now) {
+        List<Run> runs = new ArrayList<>();
+        for (Run run : worker.runs.values()) {
+            if (run.phase != Phase.STOPPING && isStoppable(step, run)) {
+                runs.add(run);
             }
         }
-        return claimed;
+        runs.sort(Comparator.comparingDouble(run -> loss(run, now)));
+        return runs;
     }
 
-    private static void claim(Worker worker, StepRun step, long now) {
-        for (Claim claim : worker.claims) {
-            if (claim.step == step) {
-                claim.tasks++;
-                return;
+    private static Resources stopping(Worker worker) {
+        Resources room = Resources.NONE;
+        for (Run run : worker.runs.values()) {
+            if (run.phase == Phase.STOPPING) {
+                room = room.plus(run.room);
             }
         }
+        return room;
+    }
+
+    private static void claim(Worker worker, StepRun step, int tasks, long now) {
         Claim claim = new Claim(step, now);
-        claim.tasks = 1;
+        claim.tasks = tasks;
         worker.claims.add(claim);
     }
 
@@ -133,15 +209,17 @@
                 && !run.task.done;
     }
 
-    /** Returns the work that a stop throws away, in accelerator-milliseconds. */
-    private static double loss(Run run) {
+    /** Returns the work that a stop throws away, in core-milliseconds. */
+    private double loss(Run run, long now) {
         StepRun step = run.task.step;
-        int accelerators = Math.max(1, run.room.accelerators());
-        double done = run.percent / 100.0 * Math.max(1, step.plan.estimateMs());
-        double loss = accelerators * (done + 1);
-        if (step.plan.gang()) {
-            loss *= step.plan.count();
+        long lost = run.workingSince > 0 ? now - run.workingSince : 0;
+        if (step.plan.checkpointing()) {
+            lost = Math.min(lost, SAVED_LOSS_MS);
         }
-        return step.plan.checkpointing() ? loss * SAVED_SHARE : loss;
+        double cores =
+                run.room.cpuMillis() / 1_000.0
+                        + run.room.accelerators() * CORES_PER_ACCELERATOR;
+        double loss = cores * (lost + 1);
+        return step.plan.gang() ? loss * step.plan.count() : loss;
     }
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ServiceOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ServiceOrder.java
@@ -11,6 +11,9 @@
     /** How much earlier a job of the next better priority is served, in milliseconds. */
     private static final long PRIORITY_MS = 4_000;
 
+    /** How long before the last moment a remote start is taken, if there is room. */
+    private static final long REMOTE_EARLY_MS = 500;
+
     /** The rank of a step; lower comes first. */
     record Rank(int tier, long latestStart) implements Comparable<Rank> {
         @Override
@@ -36,10 +39,7 @@
         if (guaranteed) {
             return new Rank(GUARANTEED, job.acceptedAt);
         }
-        long begin = job.acceptedAt;
-        if (job.record.plan().isTimed()) {
-            begin = now - (wallMs - job.record.plan().dueAtMs(step.occurrence));
-        }
+        long begin = beginOf(step, now, wallMs);
         if (step.plan.longRunning()) {
             return new Rank(IN_TIME, begin + bias(job));
         }
@@ -55,6 +55,44 @@
                 : new Rank(TOO_LATE, begin);
     }
 
+    /**
+     * Returns whether a step should give up waiting for a place near its data or on one rack.
+     *
+     * <p>A remote start is made at the last moment at which the job still ends in time, or at which
+     * it is still of some use.
+     */
+    boolean shouldRunRemotely(StepRun step, double remoteFactor, long now, long wallMs) {
+        Job job = step.job;
+        long expected = mDurations.expectedMs(job.record.queue(), step.plan);
+        if (step.plan.longRunning()) {
+            return now - step.readySince > expected;
+        }
+        long objective = objectiveMs(job);
+        long begin = beginOf(step, now, wallMs);
+        long rest = job.remainingChainMs(step.occurrence, mDurations) - expected;
+        long remote = Math.round(expected * remoteFactor) + rest;
+        if (now + expected + rest <= begin + objective) {
+            long lastMoment = begin + objective - remote;
+            return now >= lastMoment - REMOTE_EARLY_MS && now <= lastMoment;
+        }
+        return now >= begin + LATE_FACTOR * objective - remote - REMOTE_EARLY_MS;
+    }
+
+    /** Returns the latest start of a step with which its job still ends in time. */
+    long latestStart(StepRun step, long now, long wallMs) {
+        return beginOf(step, now, wallMs)
+                + objectiveMs(step.job)
+                - step.job.remainingChainMs(step.occurrence, mDurations);
+    }
+
+    /** Returns when the time of a step's job begins to count. */
+    private static long beginOf(StepRun step, long now, long wallMs) {
+        Job job = step.job;
+        return job.record.plan().isTimed()
+                ? now - (wallMs - job.record.plan().dueAtMs(step.occurrence))
+                : job.acceptedAt;
+    }
+
     /** Returns the time within which a job should end, in milliseconds. */
     long objectiveMs(Job job) {
         return Math.round(job.queue.slackFactor() * job.chainMs(mDurations))
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
@@ -33,7 +33,7 @@
 
     public SchedulerNode(
             NodeSettings settings,
-            MetadataStore store,
+            MetadataStore platformStore,
             WorkerGateway gateway,
             Catalog catalog,
             HttpClient http,
@@ -43,6 +43,7 @@
             NodeMetrics metrics) {
         mEvents = events;
         mControl = new Strand("control", loop);
+        StoreHealth store = new StoreHealth(platformStore, mControl, clock, events);
         PeerClient peers =
                 new PeerClient(http, settings.peer(), this::otherOwner, settings.seeds());
         mConfig = new ConfigKeeper(store, mControl, catalog, peers, clock, events);
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/StoreHealth.java
@@ -0,0 +1,127 @@
+package org.lycheeroad.scheduler;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.lycheeroad.scheduler.log.Events;
+import org.lycheeroad.scheduler.port.Clock;
+import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.StoreException;
+import org.lycheeroad.state.event.EventCode;
+
+/**
+ * Passes calls on to the store and notes whether it serves this VM.
+ *
+ * <p>While it does not, it is asked at short intervals, and callers can be refused at once.
+ */
+public final class StoreHealth implements MetadataStore {
+    /** One lost answer is no sign of an outage; the second without a success between them is. */
+    private static final int FAILURES = 2;
+
+    private static final long PROBE_MS = 300;
+
+    private final MetadataStore mStore;
+    private final Strand mStrand;
+    private final Clock mClock;
+    private final Events mEvents;
+    private int mFailures;
+    private long mFailingSince;
+    private volatile boolean mAway;
+
+    /** Calls to the strand may come before it is started. */
+    public StoreHealth(MetadataStore store, Strand strand, Clock clock, Events events) {
+        mStore = store;
+        mStrand = strand;
+        mClock = clock;
+        mEvents = events;
+    }
+
+    /** Returns whether the store does not serve this VM at present. */
+    public boolean isAway() {
+        return mAway;
+    }
+
+    @Override
+    public CompletableFuture<Optional<Item>> read(String key) {
+        return observe(mStore.read(key));
+    }
+
+    @Override
+    public CompletableFuture<Page> list(String prefix, String after) {
+        return observe(mStore.list(prefix, after));
+    }
+
+    @Override
+    public CompletableFuture<Changes> watch(String prefix, long after, long waitMs) {
+        return observe(mStore.watch(prefix, after, waitMs));
+    }
+
+    @Override
+    public CompletableFuture<CommitResult> commit(Commit commit) {
+        return observe(mStore.commit(commit));
+    }
+
+    @Override
+    public CompletableFuture<Long> grantLease(long ttlMs) {
+        return observe(mStore.grantLease(ttlMs));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> renewLease(long lease) {
+        return observe(mStore.renewLease(lease));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> endLease(long lease) {
+        return observe(mStore.endLease(lease));
+    }
+
+    private <T> CompletableFuture<T> observe(CompletableFuture<T> call) {
+        return call.whenComplete((value, failure) -> note(failure));
+    }
+
+    private synchronized void note(Throwable failure) {
+        if (failure == null || isAnswer(StoreException.kindOf(failure))) {
+            mFailures = 0;
+            if (mAway) {
+                mAway = false;
+                mEvents.record(
+                        EventCode.STORE_ANSWERS,
+                        "",
+                        "away_ms=" + (mClock.steadyMs() - mFailingSince));
+            }
+            return;
+        }
+        mFailures++;
+        if (mFailures == 1) {
+            mFailingSince = mClock.steadyMs();
+        }
+        if (mFailures >= FAILURES && !mAway) {
+            mAway = true;
+            mEvents.record(
+                    EventCode.STORE_SILENT, "", "failures=" + mFailures + " last=\""
+                            + failure.getMessage() + '"');
+            probeLater();
+        }
+    }
+
+    private void probeLater() {
+        mStrand.schedule(
+                PROBE_MS,
+                () -> {
+                    if (mAway) {
+                        mStrand.whenDone(read(StoreKeys.EPOCH), (item, e) -> probeIfAway());
+                    }
+                });
+    }
+
+    private void probeIfAway() {
+        if (mAway) {
+            probeLater();
+        }
+    }
+
+    /** A store that says that history or a lease is gone has answered. */
+    private static boolean isAnswer(StoreException.Kind kind) {
+        return kind == StoreException.Kind.COMPACTED || kind == StoreException.Kind.LEASE_ENDED;
+    }
+}
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -18,6 +18,7 @@
 import org.lycheeroad.state.work.JobPlan;
 import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.QueueConfig;
+import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.WorkState;
 
 /**
@@ -37,8 +38,8 @@
 
     private static final long RETRY_MS = 120;
 
-    /** Callers come back after the usual time of a failover. */
-    private static final int RETRY_AFTER_S = 2;
+    /** Outages of the store and failovers take some seconds; a second spreads the return. */
+    private static final int RETRY_AFTER_S = 1;
 
     private final ConfigKeeper mConfig;
     private final JobStore mJobs;
@@ -81,7 +82,7 @@
                                     request,
                                     () -> mJobs.accept(id.get(), record),
                                     () -> mPeers.accept(id.get(), record))
-                            .thenApply(outcome -> onAccept(id.get(), access, outcome));
+                            .thenApply(outcome -> onAccept(id.get(), access, plan, outcome));
                 });
     }
 
@@ -203,7 +204,7 @@
             return;
         }
         boolean unknown = unknownBefore || outcome != StoreOutcome.REFUSED;
-        if (mClock.steadyMs() + RETRY_MS >= giveUpAt) {
+        if (mJobs.isAway() || mClock.steadyMs() + RETRY_MS >= giveUpAt) {
             result.complete(unknown ? StoreOutcome.UNKNOWN : StoreOutcome.REFUSED);
             return;
         }
@@ -211,7 +212,8 @@
                 RETRY_MS, () -> tryWrite(direct, byOwner, giveUpAt, unknown, result));
     }
 
-    private CallerAnswer onAccept(JobId id, Access access, StoreOutcome outcome) {
+    private CallerAnswer onAccept(
+            JobId id, Access access, JobPlan plan, StoreOutcome outcome) {
         EventCode code =
                 outcome == StoreOutcome.STORED
                         ? EventCode.JOB_ACCEPTED
@@ -220,7 +222,7 @@
                 code,
                 id.value(),
                 "queue=" + access.queue.name() + " team=" + access.team + " outcome=" + outcome
-                        + " config_age_ms=" + mConfig.ageMs());
+                        + " config_age_ms=" + mConfig.ageMs() + " plan=" + describe(plan));
         return switch (outcome) {
             case STORED -> new CallerAnswer.Accepted();
             case REFUSED -> new CallerAnswer.Unavailable(RETRY_AFTER_S);
@@ -283,6 +285,35 @@
         return JOB_ID.matcher(id).matches() ? Optional.of(new JobId(id)) : Optional.empty();
     }
 
+    /** Returns the steps of a job in short: tasks, what each needs, and where they must run. */
+    private static String describe(JobPlan plan) {
+        StringBuilder text = new StringBuilder();
+        for (StepPlan step : plan.steps()) {
+            text.append(text.length() == 0 ? "" : ",")
+                    .append(step.count())
+                    .append('x')
+                    .append(step.need().accelerators())
+                    .append('a')
+                    .append(step.need().cpuMillis() / 1_000)
+                    .append('c')
+                    .append(step.need().memoryMb() / 1_024)
+                    .append("g~")
+                    .append(step.estimateMs())
+                    .append(step.gang() ? "/gang" : "")
+                    .append(step.rackLocal() ? "/rack" : "")
+                    .append(step.dataRack().isEmpty() ? "" : "/near:" + step.dataRack())
+                    .append(step.requiredLabel().isEmpty() ? "" : "/on:" + step.requiredLabel())
+                    .append(step.maxPerWorker() > 0 ? "/most:" + step.maxPerWorker() : "")
+                    .append(step.checkpointing() ? "/saves" : "")
+                    .append(step.longRunning() ? "/lasts" : "")
+                    .append(step.fills() ? "/fills" : "")
+                    .append(step.speculative() ? "/copies" : "")
+                    .append(step.tailTargetMs() > 0 ? "/tail:" + step.tailTargetMs() : "")
+                    .append(step.mayMiss() > 0 ? "/miss:" + step.mayMiss() : "");
+        }
+        return plan.isTimed() ? text + "/times:" + plan.repeatCount() : text.toString();
+    }
+
     private static boolean isFinal(StoreOutcome outcome) {
         return outcome == StoreOutcome.STORED || outcome == StoreOutcome.NO_JOB;
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobStore.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobStore.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.CompletableFuture;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
+import org.lycheeroad.scheduler.StoreHealth;
 import org.lycheeroad.scheduler.StoreKeys;
-import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.MetadataStore.Commit;
 import org.lycheeroad.scheduler.port.MetadataStore.CommitResult;
 import org.lycheeroad.scheduler.port.MetadataStore.Condition;
@@ -23,15 +23,23 @@
 public final class JobStore {
     private static final ByteString CANCELLED = ByteString.copyFromUtf8("1");
 
-    private final MetadataStore mStore;
+    private final StoreHealth mStore;
 
-    public JobStore(MetadataStore store) {
+    public JobStore(StoreHealth store) {
         mStore = store;
     }
 
+    /** Returns whether the store does not serve this VM, so that nothing is sent to it. */
+    public boolean isAway() {
+        return mStore.isAway();
+    }
+
     /** Stores a job unless the store has it. */
     public CompletableFuture<StoreOutcome> accept(JobId id, JobRecord record) {
         ByteString value = ByteString.copyFromUtf8(Json.write(record));
+        if (mStore.isAway()) {
+            return CompletableFuture.completedFuture(StoreOutcome.REFUSED);
+        }
         String key = StoreKeys.job(id);
         Commit commit =
                 new Commit(
@@ -44,6 +52,9 @@
 
     /** Stores the cancellation of a job. */
     public CompletableFuture<StoreOutcome> cancel(JobId id) {
+        if (mStore.isAway()) {
+            return CompletableFuture.completedFuture(StoreOutcome.REFUSED);
+        }
         return mStore.read(StoreKeys.job(id))
                 .thenCompose(item -> item.isEmpty() ? noJob() : writeCancel(id, item.get()))
                 .handle((outcome, e) -> e == null ? outcome : of(e));
--- /dev/null
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the users' platform, written from its published pages. */
+package org.lycheeroad.standins.platform;
