Let the lease of a silent worker end

Ruled out: a lost stop; the worker had left. Change: no lease goes with a look at a silent worker. Stops log their reason.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
@@ -70,7 +70,7 @@
     }
 
     /** Stops a run; one whose start was never sent is over at once. */
-    void stop(Run run, long now) {
+    void stop(Run run, StopReason reason, long now) {
         if (run.phase == Phase.RECORDING) {
             release(run);
             return;
@@ -78,17 +78,20 @@
         if (run.phase != Phase.STOPPING) {
             run.phase = Phase.STOPPING;
             run.confirmedAt = Long.MAX_VALUE;
+            run.stopReason = reason;
             sendStop(run, now);
         }
     }
 
     void sendStop(Run run, long now) {
         run.stopSentAt = now;
-        mActions.add(new JobAction.Stop(run.worker.id, run.bornMs, run.ref));
+        mActions.add(
+                new JobAction.Stop(run.worker.id, run.bornMs, run.ref, run.stopReason));
     }
 
     void stopStranger(Worker worker, RunRef run) {
-        mActions.add(new JobAction.Stop(worker.id, worker.bornMs, run));
+        mActions.add(
+                new JobAction.Stop(worker.id, worker.bornMs, run, StopReason.NOT_RECORDED));
     }
 
     /** Forgets a run that is certainly over; its task waits again unless it is done. */
@@ -106,7 +109,7 @@
     void stopGang(StepRun step, int attempt, long now) {
         for (Task member : step.tasks) {
             if (member.run != null && member.run.ref.attempt() == attempt) {
-                stop(member.run, now);
+                stop(member.run, StopReason.GANG_BROKEN, now);
             }
         }
     }
@@ -122,7 +125,7 @@
             for (StepRun step : steps) {
                 for (Task task : step.tasks) {
                     if (task.run != null && !task.done) {
-                        stop(task.run, now);
+                        stop(task.run, StopReason.JOB_ENDED, now);
                     }
                 }
                 dropClaims(step);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobAction.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobAction.java
@@ -28,7 +28,8 @@
             implements JobAction {}
 
     /** Stops a run, or bars it from starting if it is not there yet. */
-    record Stop(WorkerId worker, long bornMs, RunRef run) implements JobAction {}
+    record Stop(WorkerId worker, long bornMs, RunRef run, StopReason reason)
+            implements JobAction {}
 
     /** Sets the share of its speed at which a run works. */
     record Throttle(WorkerId worker, long bornMs, RunRef run, int percent) implements JobAction {}
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -40,6 +40,12 @@
     /** How long before the last useful start an urgent step reclaims room: a stop and a start. */
     private static final long RECLAIM_BEFORE_MS = 900;
 
+    /** What reclaiming takes at most: two tries of stopping, recording and starting. */
+    private static final long RECLAIM_TAKES_MS = 1_300;
+
+    /** To end in time, a step may throw away this much work beside its own. */
+    private static final double LOSS_SHARE = 0.5;
+
     private final SchedulerSettings mSettings;
     private final Cluster mCluster = new Cluster();
     private final RunTracker mTracker = new RunTracker(mCluster);
@@ -400,10 +406,11 @@
                 task.run.recordVersion = step.job.version;
             }
         }
-        if (places.size() < tasks.size()
-                && mayReclaim(step, guaranteed, now, wallMs)
-                && !mReclaim.hasClaims(step)) {
-            mReclaim.reclaim(step, step.waiting(), workers, remote, now);
+        if (places.size() < tasks.size() && !mReclaim.hasClaims(step)) {
+            double loss = affordableLoss(step, guaranteed, now, wallMs);
+            if (loss >= 0) {
+                mReclaim.reclaim(step, step.waiting(), remote, loss, now);
+            }
         }
     }
 
@@ -416,15 +423,18 @@
                 || !Placement.hasRack(step, mCluster.workers.values());
     }
 
-    /** Returns whether less urgent runs should be stopped for a step. */
-    private boolean mayReclaim(StepRun step, boolean guaranteed, long now, long wallMs) {
-        if (guaranteed) {
-            return true;
+    /** Returns the most work that may be thrown away for a step now, in core-milliseconds. */
+    private double affordableLoss(StepRun step, boolean guaranteed, long now, long wallMs) {
+        if (guaranteed && now - step.readySince >= mSettings.reclaimMs() - RECLAIM_TAKES_MS) {
+            return Double.MAX_VALUE;
+        }
+        if (step.job.queue.priority() > 0) {
+            return -1;
         }
         long latest = mOrder.latestStart(step, now, wallMs);
-        return step.job.queue.priority() == 0
-                && latest >= now
-                && latest - now < RECLAIM_BEFORE_MS;
+        boolean lastMoment = latest >= now && latest - now < RECLAIM_BEFORE_MS;
+        long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
+        return lastMoment ? LOSS_SHARE * Reclaim.work(step, expected) : -1;
     }
 
     private static void useClaim(Worker worker, StepRun step) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
@@ -1,7 +1,6 @@
 package org.lycheeroad.coordination.jobs;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -57,15 +56,11 @@
      * Stops what is in the way of a step's waiting tasks and keeps the room for them.
      *
      * @param remote whether tasks may run away from their data or across racks
+     * @param maxLoss the most work that may be thrown away, in core-milliseconds
      */
-    void reclaim(
-            StepRun step,
-            List<Task> waiting,
-            Collection<Worker> workers,
-            boolean remote,
-            long now) {
+    void reclaim(StepRun step, List<Task> waiting, boolean remote, double maxLoss, long now) {
         List<Worker> usable = new ArrayList<>();
-        for (Worker worker : workers) {
+        for (Worker worker : mCluster.workers.values()) {
             if (worker.isUsable(now) && Placement.allows(step, worker)) {
                 usable.add(worker);
             }
@@ -77,10 +72,10 @@
         if (best == null && remote) {
             best = plan(step, waiting.size(), usable, now);
         }
-        if (best != null) {
+        if (best != null && best.cost <= maxLoss) {
             best.places.forEach((worker, tasks) -> claim(worker, step, tasks, now));
             for (Run victim : best.victims) {
-                mCluster.stop(victim, now);
+                mCluster.stop(victim, StopReason.RECLAIMED, now);
                 if (victim.task.step.plan.gang()) {
                     mCluster.stopGang(victim.task.step, victim.ref.attempt(), now);
                 }
@@ -209,6 +204,11 @@
                 && !run.task.done;
     }
 
+    /** Returns the work of a step's tasks, in core-milliseconds. */
+    static double work(StepRun step, long taskMs) {
+        return step.plan.count() * cores(step.plan.reserved()) * taskMs;
+    }
+
     /** Returns the work that a stop throws away, in core-milliseconds. */
     private double loss(Run run, long now) {
         StepRun step = run.task.step;
@@ -216,10 +216,11 @@
         if (step.plan.checkpointing()) {
             lost = Math.min(lost, SAVED_LOSS_MS);
         }
-        double cores =
-                run.room.cpuMillis() / 1_000.0
-                        + run.room.accelerators() * CORES_PER_ACCELERATOR;
-        double loss = cores * (lost + 1);
+        double loss = cores(run.room) * (lost + 1);
         return step.plan.gang() ? loss * step.plan.count() : loss;
     }
+
+    private static double cores(Resources room) {
+        return room.cpuMillis() / 1_000.0 + room.accelerators() * CORES_PER_ACCELERATOR;
+    }
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -41,6 +41,7 @@
     public long progressAt;
 
     public long workingSince;
+    public StopReason stopReason;
     /** When the last stop was sent. */
     public long stopSentAt;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -38,6 +38,9 @@
     /** The share of a task's expected time in which it must make some progress. */
     private static final double STALL_SHARE = 0.25;
 
+    /** Workers derive the percentage from the estimate; a longer task stays near its end. */
+    private static final int ESTIMATE_USED_UP = 95;
+
     private final Cluster mCluster;
 
     RunTracker(Cluster cluster) {
@@ -106,7 +109,7 @@
                 if (now - run.sentAt < REPEAT_START_MS) {
                     mCluster.sendStart(run, now);
                 } else {
-                    mCluster.stop(run, now);
+                    mCluster.stop(run, StopReason.STALLED, now);
                     stopOthers(run, now);
                 }
             }
@@ -114,7 +117,7 @@
                 run.worker.quarantinedUntil =
                         Math.max(run.worker.quarantinedUntil, now + REFUSED_PAUSE_MS);
                 // An earlier copy of the start without an answer may still arrive.
-                mCluster.stop(run, now);
+                mCluster.stop(run, StopReason.REFUSED, now);
                 stopOthers(run, now);
             }
         }
@@ -138,7 +141,7 @@
                 } else if (run.phase == Phase.RUNNING && !worker.silent && isStalled(run, now)) {
                     run.task.failedOn.add(worker.id);
                     blame(worker, run.task.step, now);
-                    mCluster.stop(run, now);
+                    mCluster.stop(run, StopReason.STALLED, now);
                     stopOthers(run, now);
                 }
             }
@@ -147,7 +150,7 @@
 
     private boolean isStalled(Run run, long now) {
         StepRun step = run.task.step;
-        if (step.plan.longRunning() || step.plan.fills()) {
+        if (step.plan.longRunning() || step.plan.fills() || run.percent >= ESTIMATE_USED_UP) {
             return false;
         }
         long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -171,7 +171,8 @@
         mEvents.record(
                 EventCode.ORDER_SENT,
                 stop.run().task().job().value(),
-                "order=stop run=" + stop.run() + " worker=" + mEntry.id());
+                "order=stop run=" + stop.run() + " worker=" + mEntry.id() + " reason="
+                        + stop.reason());
         mStrand.whenDone(
                 mGateway.stop(target(), stop.run()),
                 (reply, e) -> {
@@ -193,7 +194,8 @@
 
     private void look(long now) {
         boolean busy = mScheduler.hasRuns(mEntry.id());
-        boolean extend = busy && mClockKnown;
+        // A silent worker's lease is left to end, so that its runs can start elsewhere.
+        boolean extend = busy && mClockKnown && !mSilent;
         if (extend) {
             mLapsedAt = lapseAfter(now);
         }
@@ -205,7 +207,7 @@
                         target(),
                         mScheduler.observed(mEntry.id()),
                         extend ? leaseUntil(now) : 0,
-                        extend && !mSilent ? LOOK_WAIT_MS : 0),
+                        extend ? LOOK_WAIT_MS : 0),
                 (reply, e) -> onLook(reply, now, bornMs));
     }
 
