--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -434,7 +434,7 @@
         long latest = mOrder.latestStart(step, now, wallMs);
         boolean lastMoment = latest >= now && latest - now < RECLAIM_BEFORE_MS;
         long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
-        return lastMoment ? LOSS_SHARE * Reclaim.work(step, expected) : -1;
+        return guaranteed || lastMoment ? LOSS_SHARE * Reclaim.work(step, expected) : -1;
     }
 
     private static void useClaim(Worker worker, StepRun step) {
--- /dev/null
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -0,0 +1,166 @@
+package org.lycheeroad.coordination.jobs;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.lycheeroad.coordination.jobs.JobScheduler.Unsaved;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.id.RackId;
+import org.lycheeroad.state.id.TeamId;
+import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.ClusterConfig;
+import org.lycheeroad.state.work.JobPlan;
+import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.ProgressRecord;
+import org.lycheeroad.state.work.QueueConfig;
+import org.lycheeroad.state.work.QueueName;
+import org.lycheeroad.state.work.Resources;
+import org.lycheeroad.state.work.RunEnd;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.ServiceConfig;
+import org.lycheeroad.state.work.ServiceName;
+import org.lycheeroad.state.work.StepPlan;
+import org.lycheeroad.state.work.TeamConfig;
+import org.lycheeroad.state.work.WorkerEntry;
+import org.lycheeroad.state.work.WorkerRuns;
+import org.lycheeroad.state.work.WorkerRuns.Ended;
+import org.lycheeroad.state.work.WorkerRuns.Running;
+
+/** A scheduler with two queues, and helpers that play the store and the workers. */
+final class JobSchedulerFixture {
+    static final QueueName URGENT = new QueueName("urgent");
+    static final QueueName BULK = new QueueName("bulk");
+    static final TeamId TEAM = new TeamId("team");
+    static final int MAX_ATTEMPTS = 3;
+    static final int GUARANTEED = 16;
+    static final long BORN = 1_000;
+    static final SchedulerSettings SETTINGS = new SchedulerSettings(3, 2_700, 3_000, 120_000);
+    private static final ServiceName SERVICE = new ServiceName("service");
+
+    final JobScheduler scheduler = new JobScheduler(SETTINGS);
+    long now = 1_000_000;
+
+    JobSchedulerFixture() {
+        scheduler.onConfig(config());
+    }
+
+    static ClusterConfig config() {
+        return new ClusterConfig(
+                1,
+                List.of(queue(URGENT, 0, 1.5, 600), queue(BULK, 1, 3, 1_500)),
+                List.of(new ServiceConfig(SERVICE, false)),
+                List.of(new TeamConfig(TEAM, List.of("key"), GUARANTEED)));
+    }
+
+    private static QueueConfig queue(QueueName name, int priority, double slack, long latency) {
+        return new QueueConfig(
+                name, "host", "/" + name, SERVICE, priority, MAX_ATTEMPTS, slack, latency, false,
+                null);
+    }
+
+    static WorkerEntry entry(String id, String rack, boolean draining) {
+        return new WorkerEntry(
+                new WorkerId(id),
+                BORN,
+                new HostPort("127.0.0.1", 1),
+                SERVICE,
+                draining,
+                0,
+                new Resources(16_000, 32_000, 8),
+                Set.of("a", rack),
+                new RackId(rack));
+    }
+
+    /** Adds a worker that has answered a first look. */
+    void addWorker(String id, String rack) {
+        scheduler.onWorker(entry(id, rack, false), now);
+        report(id, List.of(), List.of());
+    }
+
+    void submit(String job, QueueName queue, StepPlan... steps) {
+        submit(job, queue, null, steps);
+    }
+
+    void submit(String job, QueueName queue, ProgressRecord progress, StepPlan... steps) {
+        JobPlan plan = new JobPlan("spec", List.of(steps), 0, 0, 0);
+        scheduler.onJob(
+                new JobId(job), new JobRecord(queue, TEAM, plan, 0), progress, 0, now);
+    }
+
+    /** Plans, saves everything and returns the orders. */
+    List<JobAction> round() {
+        return round(true);
+    }
+
+    List<JobAction> round(boolean save) {
+        scheduler.plan(now, now);
+        if (save) {
+            saveAll();
+        }
+        return scheduler.takeActions();
+    }
+
+    void saveAll() {
+        for (Unsaved unsaved : scheduler.takeUnsaved()) {
+            scheduler.onSaved(unsaved.job(), unsaved.version(), now);
+        }
+    }
+
+    /** Answers all starts with success. */
+    void accept(List<JobAction> actions) {
+        for (JobAction.Start start : starts(actions)) {
+            scheduler.onStartAnswer(start.worker(), start.run(), OrderAnswer.ACCEPTED, now);
+        }
+    }
+
+    void report(String worker, List<Running> running, List<Ended> ended) {
+        scheduler.onRuns(
+                new WorkerId(worker), new WorkerRuns(now, BORN, running, ended), now, now);
+    }
+
+    static Running running(JobAction order, int percent) {
+        return new Running(order.run(), "", percent, 0);
+    }
+
+    static Ended ended(long number, RunRef run, RunEnd how) {
+        return new Ended(number, run, how, "");
+    }
+
+    static List<JobAction.Start> starts(List<JobAction> actions) {
+        List<JobAction.Start> starts = new ArrayList<>();
+        for (JobAction action : actions) {
+            if (action instanceof JobAction.Start start) {
+                starts.add(start);
+            }
+        }
+        return starts;
+    }
+
+    static List<JobAction.Stop> stops(List<JobAction> actions) {
+        List<JobAction.Stop> stops = new ArrayList<>();
+        for (JobAction action : actions) {
+            if (action instanceof JobAction.Stop stop) {
+                stops.add(stop);
+            }
+        }
+        return stops;
+    }
+
+    static Set<String> workersOf(List<JobAction.Start> starts) {
+        Set<String> workers = new LinkedHashSet<>();
+        starts.forEach(start -> workers.add(start.worker().value()));
+        return workers;
+    }
+
+    static StepPlan tasks(int count, int accelerators, long estimateMs) {
+        return StepPlan.plain(count, new Resources(100, 100, accelerators), estimateMs);
+    }
+
+    static StepPlan gang(int count, int accelerators, long estimateMs, boolean rackLocal) {
+        return new StepPlan(
+                count, new Resources(100, 100, accelerators), estimateMs, List.of(), true,
+                rackLocal, "", "", 0, false, false, false, false, 0, 0, "");
+    }
+}
