--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -90,7 +90,7 @@
             }
         }
 
-        /** A VM that the store turns away learns of changes from the other daemons. */
+        /** A call whose key no team ever held must not run. */
         @Test
         void unknownKeyIsRefused() throws Exception {
             try (SmallPlatform small = new SmallPlatform(1, 1)) {
