Keep a gang member's end until the end of its job is saved

Cause: the first member's success ends the job, and the ends that the other members listed were then taken as saved, because the job was no longer among the active ones. Change: such an end waits for the ended job's version. Test: endOfAGangMemberIsObservedOnlyOnceTheJobsEndIsSaved fails before.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -187,8 +187,9 @@
         } else if (job != null && end.how() == RunEnd.DONE) {
             onLateDone(job, end, now);
         }
-        // Saving a job's end covers all ends of its runs.
-        long version = job == null ? 0 : job.version;
+        // The end of a run whose job has ended waits until the job's end is saved.
+        Job owner = mCluster.job(end.run().task().job());
+        long version = owner == null ? 0 : owner.version;
         worker.listedEnds.add(new ListedEnd(end.number(), end.run().task().job(), version));
     }
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultModel.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultModel.java
@@ -324,10 +324,37 @@
             worker.mLapsedEnd = worker.mEndNumber;
         }
         for (RunRef run : List.copyOf(worker.mRunning.values())) {
+            if (!run.equals(worker.mRunning.get(run.task()))) {
+                continue;
+            }
             if (mNow > worker.mLeaseUntil) {
                 end(worker, run, RunEnd.LAPSED);
             } else if (mNow >= worker.mEndsAt.get(run.task())) {
-                end(worker, run, RunEnd.DONE);
+                endTogether(worker, run);
+            }
+        }
+    }
+
+    /** Members of a gang end at the same time, once all of them are present. */
+    private void endTogether(RealWorker worker, RunRef run) {
+        if (!mAccepted.get(run.task().job()).plan().steps().get(0).gang()) {
+            end(worker, run, RunEnd.DONE);
+            return;
+        }
+        List<RealWorker> holders = new ArrayList<>();
+        List<RunRef> members = new ArrayList<>();
+        for (RealWorker other : mWorkers.values()) {
+            for (RunRef member : other.mRunning.values()) {
+                if (member.task().job().equals(run.task().job())
+                        && member.attempt() == run.attempt()) {
+                    holders.add(other);
+                    members.add(member);
+                }
+            }
+        }
+        if (members.size() == mAccepted.get(run.task().job()).plan().steps().get(0).count()) {
+            for (int i = 0; i < members.size(); i++) {
+                end(holders.get(i), members.get(i), RunEnd.DONE);
             }
         }
     }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -57,6 +57,27 @@
             assertThat(mScheduler.stateOf(JOB)).contains(WorkState.COMPLETED);
         }
 
+        /** Own day store-silent-workers-die on fcvf: the second member's end was noted unsaved. */
+        @Test
+        void endOfAGangMemberIsObservedOnlyOnceTheJobsEndIsSaved() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.addWorker("w2", "r1");
+            mFixture.submit("j1", BULK, gang(2, 8, 1_000, true));
+            List<JobAction> actions = mFixture.round();
+            mFixture.accept(actions);
+            for (JobAction start : actions) {
+                mFixture.report(
+                        start.worker().value(),
+                        List.of(),
+                        List.of(ended(1, start.run(), RunEnd.DONE)));
+            }
+            assertThat(mScheduler.observed(new WorkerId("w1"))).isZero();
+            assertThat(mScheduler.observed(new WorkerId("w2"))).isZero();
+            mFixture.saveAll();
+            assertThat(mScheduler.observed(new WorkerId("w1"))).isEqualTo(1);
+            assertThat(mScheduler.observed(new WorkerId("w2"))).isEqualTo(1);
+        }
+
         /** A recorded run that the worker still has must not be started a second time. */
         @Test
         void newOwnerAdoptsRecordedRun() {
