--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -20,6 +20,7 @@
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.QueueConfig;
 import org.lycheeroad.state.work.QueueName;
+import org.lycheeroad.state.work.Resources;
 import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerEntry;
@@ -40,6 +41,9 @@
     /** How long before the last useful start an urgent step reclaims room: a stop and a start. */
     private static final long RECLAIM_BEFORE_MS = 900;
 
+    /** How long a step waits for its rack while most workers are idle. */
+    private static final long IDLE_WAIT_MS = 1_500;
+
     /** What reclaiming takes at most: two tries of stopping, recording and starting. */
     private static final long RECLAIM_TAKES_MS = 1_300;
 
@@ -419,10 +423,26 @@
         if (guaranteed && now - step.readySince > mSettings.reclaimMs() / 2) {
             return true;
         }
+        if (now - step.readySince > IDLE_WAIT_MS && isMostlyIdle(step)) {
+            return true;
+        }
         return mOrder.shouldRunRemotely(step, mSettings.remoteFactor(), now, wallMs)
                 || !Placement.hasRack(step, mCluster.workers.values());
     }
 
+    /** Returns whether the workers that a step may use have more room free than in use. */
+    private boolean isMostlyIdle(StepRun step) {
+        Resources capacity = Resources.NONE;
+        Resources used = Resources.NONE;
+        for (Worker worker : mCluster.workers.values()) {
+            if (worker.listed && Placement.allows(step, worker)) {
+                capacity = capacity.plus(worker.entry.capacity());
+                used = used.plus(worker.used());
+            }
+        }
+        return used.times(2).fitsIn(capacity);
+    }
+
     /** Returns the most work that may be thrown away for a step now, in core-milliseconds. */
     private double affordableLoss(StepRun step, boolean guaranteed, long now, long wallMs) {
         if (guaranteed && now - step.readySince >= mSettings.reclaimMs() - RECLAIM_TAKES_MS) {
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -347,6 +347,40 @@
         }
     }
 
+    @Nested
+    class Racks {
+        /** Hunt on wentmont-sched, own day, seed 453701534583: a gang waited beside idle racks. */
+        @Test
+        void gangDoesNotWaitForARackWhileMostWorkersAreIdle() {
+            for (int i = 0; i < 4; i++) {
+                mFixture.addWorker("w" + i, "r" + i / 2);
+                mFixture.addWorker("x" + i, "r" + i / 2);
+            }
+            for (int i = 0; i < 4; i++) {
+                mScheduler.onWorkerSilent(new WorkerId("x" + i));
+            }
+            mFixture.submit("j1", BULK, gang(3, 8, 10_000, true));
+            assertThat(starts(mFixture.round())).isEmpty();
+            mFixture.now += 2_000;
+            assertThat(starts(mFixture.round())).hasSize(3);
+        }
+
+        /** Pattern: a short queue for one rack; a remote start would take three times as long. */
+        @Test
+        void gangWaitsForARackWhileTheClusterIsBusy() {
+            for (int i = 0; i < 4; i++) {
+                mFixture.addWorker("w" + i, "r" + i / 2);
+            }
+            mFixture.submit("j1", BULK, tasks(1, 8, 1_000), tasks(1, 8, 1_000));
+            mFixture.accept(mFixture.round());
+            mFixture.submit("j2", BULK, gang(2, 8, 10_000, true));
+            mFixture.submit("j3", BULK, gang(2, 8, 10_000, true));
+            mFixture.now += 2_000;
+            assertThat(starts(mFixture.round())).hasSize(2);
+            assertThat(starts(mFixture.round())).isEmpty();
+        }
+    }
+
     @Nested
     class Guarantees {
         /** Pattern: a crest of urgent jobs meets a cluster that bulk work fills. */
