--- a/cli/src/main/java/org/lycheeroad/cli/CliMain.java
+++ b/cli/src/main/java/org/lycheeroad/cli/CliMain.java
@@ -20,6 +20,7 @@
             CancelCommand.class,
             RequestCommand.class,
             TimelineCommand.class,
+            ExplainCommand.class,
             BenchCommand.class,
             LocalCommand.class
         },
--- /dev/null
+++ b/cli/src/main/java/org/lycheeroad/cli/EventLine.java
@@ -0,0 +1,51 @@
+package org.lycheeroad.cli;
+
+import java.util.Locale;
+import java.util.Optional;
+import org.lycheeroad.protocol.json.Json;
+import org.lycheeroad.protocol.json.JsonException;
+import org.lycheeroad.state.event.TimelineEvent;
+
+/** One event as a line for people, and as a line of a log. */
+final class EventLine {
+    private EventLine() {}
+
+    /** Reads the event of a log line, whatever a collector has put before it. */
+    static Optional<TimelineEvent> parse(String line) {
+        int begin = line.indexOf('{');
+        if (begin < 0) {
+            return Optional.empty();
+        }
+        try {
+            TimelineEvent event = Json.read(line.substring(begin), TimelineEvent.class);
+            return event.at() == null || event.entry() == null
+                    ? Optional.empty()
+                    : Optional.of(event);
+        } catch (JsonException e) {
+            // Logs hold other lines beside events.
+            return Optional.empty();
+        }
+    }
+
+    static String describe(TimelineEvent event) {
+        StringBuilder line = new StringBuilder();
+        line.append(
+                String.format(
+                        Locale.ROOT,
+                        "%d.%03d %s %d",
+                        event.at().millis(),
+                        event.at().counter(),
+                        event.entry(),
+                        event.number()));
+        append(line, "job", event.job());
+        append(line, "request", event.request());
+        append(line, "team", event.team());
+        return line.append(' ').append(event.text()).toString();
+    }
+
+    private static void append(StringBuilder line, String name, String value) {
+        if (value != null && !value.isEmpty()) {
+            line.append(' ').append(name).append('=').append(value);
+        }
+    }
+}
--- a/cli/src/main/java/org/lycheeroad/cli/TimelineCommand.java
+++ b/cli/src/main/java/org/lycheeroad/cli/TimelineCommand.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Locale;
 import org.lycheeroad.protocol.api.EventPage;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
@@ -51,7 +50,7 @@
             }
         }
         for (TimelineEvent event : merge(events)) {
-            out.println(describe(event));
+            out.println(EventLine.describe(event));
         }
         return complete ? ExitCode.OK : ExitCode.FAILED;
     }
@@ -111,26 +110,4 @@
     private static boolean matches(String wanted, String actual) {
         return wanted == null || wanted.equals(actual);
     }
-
-    private static String describe(TimelineEvent event) {
-        StringBuilder line = new StringBuilder();
-        line.append(
-                String.format(
-                        Locale.ROOT,
-                        "%d.%03d %s %d",
-                        event.at().millis(),
-                        event.at().counter(),
-                        event.entry(),
-                        event.number()));
-        append(line, "job", event.job());
-        append(line, "request", event.request());
-        append(line, "team", event.team());
-        return line.append(' ').append(event.text()).toString();
-    }
-
-    private static void append(StringBuilder line, String name, String value) {
-        if (value != null && !value.isEmpty()) {
-            line.append(' ').append(name).append('=').append(value);
-        }
-    }
 }
--- a/entry/src/main/java/org/lycheeroad/entry/events/EntryMetrics.java
+++ b/entry/src/main/java/org/lycheeroad/entry/events/EntryMetrics.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 
-/** The metrics of one entry; docs/operations.md lists them. */
+/** The metrics of one entry; docs/OPERATIONS.md lists them. */
 public final class EntryMetrics {
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
