--- a/cli/src/test/java/org/lycheeroad/cli/ExplainCommandTest.java
+++ b/cli/src/test/java/org/lycheeroad/cli/ExplainCommandTest.java
@@ -59,8 +59,16 @@
     }
 
     private static String line(long at, String entry, int number, String job, String text) {
-        return "{\"at\":{\"millis\":" + at + ",\"counter\":0},\"entry\":\"" + entry
-                + "\",\"number\":" + number + ",\"job\":\"" + job
-                + "\",\"request\":\"\",\"team\":\"\",\"text\":\"" + text + "\"}";
+        return "{\"at\":{\"millis\":"
+                + at
+                + ",\"counter\":0},\"entry\":\""
+                + entry
+                + "\",\"number\":"
+                + number
+                + ",\"job\":\""
+                + job
+                + "\",\"request\":\"\",\"team\":\"\",\"text\":\""
+                + text
+                + "\"}";
     }
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
@@ -85,13 +85,11 @@
 
     void sendStop(Run run, long now) {
         run.stopSentAt = now;
-        mActions.add(
-                new JobAction.Stop(run.worker.id, run.bornMs, run.ref, run.stopReason));
+        mActions.add(new JobAction.Stop(run.worker.id, run.bornMs, run.ref, run.stopReason));
     }
 
     void stopStranger(Worker worker, RunRef run) {
-        mActions.add(
-                new JobAction.Stop(worker.id, worker.bornMs, run, StopReason.NOT_RECORDED));
+        mActions.add(new JobAction.Stop(worker.id, worker.bornMs, run, StopReason.NOT_RECORDED));
     }
 
     /** Forgets a run that is certainly over; its task waits again unless it is done. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
@@ -15,6 +15,7 @@
 final class Job {
     public final JobId id;
     public final JobRecord record;
+
     /** When the job was accepted, on the scheduler's clock. */
     public final long acceptedAt;
 
@@ -25,6 +26,7 @@
     public QueueConfig queue;
 
     public WorkState state = WorkState.QUEUED;
+
     /** Rises with each change of what the store has to keep. */
     public long version;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -494,10 +494,7 @@
     private void forgetOldJobs(long now) {
         mCluster.ended
                 .values()
-                .removeIf(
-                        job ->
-                                job.isSaved()
-                                        && now - job.endedAt > 3 * mSettings.statusKeepMs());
+                .removeIf(job -> job.isSaved() && now - job.endedAt > 3 * mSettings.statusKeepMs());
     }
 
     private static QueueConfig unknownQueue(JobRecord record) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -145,13 +145,10 @@
         return fill(
                 step,
                 waiting,
-                allowed.stream()
-                        .filter(w -> used == null || used.equals(w.entry.rack()))
-                        .toList());
+                allowed.stream().filter(w -> used == null || used.equals(w.entry.rack())).toList());
     }
 
-    private static Map<Task, Worker> fill(
-            StepRun step, List<Task> waiting, List<Worker> workers) {
+    private static Map<Task, Worker> fill(StepRun step, List<Task> waiting, List<Worker> workers) {
         Map<Worker, Integer> room = new HashMap<>();
         Map<Worker, Integer> taken = new HashMap<>();
         for (Worker worker : workers) {
@@ -167,10 +164,7 @@
                             .min(
                                     Comparator.comparingDouble(
                                                     (Worker w) ->
-                                                            cost(
-                                                                    task,
-                                                                    w,
-                                                                    taken.getOrDefault(w, 0)))
+                                                            cost(task, w, taken.getOrDefault(w, 0)))
                                             .thenComparing(w -> w.id))
                             .orElse(null);
             if (best == null) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
@@ -22,7 +22,9 @@
     /** How long room is kept before the choice is made anew; stops take some 200-400 ms. */
     private static final long CLAIM_MS = 1_000;
 
-    /** What a run that saves its progress loses at most: work since the last save, and a restart. */
+    /**
+     * What a run that saves its progress loses at most: work since the last save, and a restart.
+     */
     private static final long SAVED_LOSS_MS = 1_000;
 
     /** Weighs an accelerator against a core. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -37,11 +37,13 @@
     public long confirmedAt = Long.MAX_VALUE;
 
     public int percent;
+
     /** When the percentage last rose. */
     public long progressAt;
 
     public long workingSince;
     public StopReason stopReason;
+
     /** When the last stop was sent. */
     public long stopSentAt;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepRun.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepRun.java
@@ -12,6 +12,7 @@
     public final int number;
     public final StepPlan plan;
     public final List<Task> tasks = new ArrayList<>();
+
     /** When the step's tasks could first have started; negative before that. */
     public long readySince = -1;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Task.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Task.java
@@ -9,6 +9,7 @@
 final class Task {
     public final TaskRef ref;
     public final StepRun step;
+
     /** The workers on which a run failed or stood still. */
     public final Set<WorkerId> failedOn = new HashSet<>();
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -37,17 +37,20 @@
 
     public final WorkerId id;
     public final Map<RunRef, Run> runs = new LinkedHashMap<>();
+
     /** Runs that the worker has and that the scheduler did not record. */
     public final Set<RunRef> strangers = new HashSet<>();
 
     public final List<Claim> claims = new ArrayList<>();
     public final Deque<ListedEnd> listedEnds = new ArrayDeque<>();
+
     /** The steps whose runs failed here without a success since. */
     public final Set<StepRun> failedSteps = new HashSet<>();
 
     public WorkerEntry entry;
     public long bornMs;
     public boolean listed;
+
     /** Whether the worker has answered this owner. */
     public boolean seen;
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultModel.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultModel.java
@@ -18,7 +18,6 @@
 import org.lycheeroad.state.work.RunEnd;
 import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.TaskRef;
-import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerRuns;
 import org.lycheeroad.state.work.WorkerRuns.Ended;
 import org.lycheeroad.state.work.WorkerRuns.Running;
@@ -140,8 +139,7 @@
                         0,
                         0);
         JobRecord record =
-                new JobRecord(
-                        JobSchedulerFixture.BULK, JobSchedulerFixture.TEAM, plan, mNow);
+                new JobRecord(JobSchedulerFixture.BULK, JobSchedulerFixture.TEAM, plan, mNow);
         mAccepted.put(id, record);
         mScheduler.onJob(id, record, null, 0, mNow);
     }
@@ -225,9 +223,7 @@
                 end -> {
                     boolean noted = end.number() <= observed;
                     // An end that was listed before its worker's lease lapsed does not count.
-                    if (noted
-                            && end.how() == RunEnd.DONE
-                            && end.number() > worker.mLapsedEnd) {
+                    if (noted && end.how() == RunEnd.DONE && end.number() > worker.mLapsedEnd) {
                         mNoted.add(end.run().task());
                     }
                     return noted;
@@ -237,8 +233,7 @@
         List<Running> running = new ArrayList<>();
         worker.mRunning.values().forEach(run -> running.add(new Running(run, "", 95, 0)));
         WorkerRuns runs =
-                new WorkerRuns(
-                        mNow, JobSchedulerFixture.BORN, running, List.copyOf(worker.mEnds));
+                new WorkerRuns(mNow, JobSchedulerFixture.BORN, running, List.copyOf(worker.mEnds));
         mScheduler.onRuns(id, runs, mNow, mNow);
     }
 
@@ -247,9 +242,7 @@
         long epoch = mEpoch;
         JobScheduler scheduler = mScheduler;
         long expires = mNow + HOLD_MS;
-        mLapsesAt.put(
-                action.worker(),
-                mNow + (mDefect == Defect.LAPSE_EARLY ? 500 : LAPSE_MS));
+        mLapsesAt.put(action.worker(), mNow + (mDefect == Defect.LAPSE_EARLY ? 500 : LAPSE_MS));
         int luck = faults ? mRandom.nextInt(20) : 10;
         boolean late = luck == 0;
         boolean lost = luck == 1;
@@ -310,8 +303,12 @@
     private void checkStart(RunRef run) {
         for (Map.Entry<WorkerId, RealWorker> entry : mWorkers.entrySet()) {
             if (entry.getValue().mRunning.containsKey(run.task())) {
-                mBroken.add(run + " starts while " + entry.getValue().mRunning.get(run.task())
-                        + " runs on " + entry.getKey());
+                mBroken.add(
+                        run
+                                + " starts while "
+                                + entry.getValue().mRunning.get(run.task())
+                                + " runs on "
+                                + entry.getKey());
             }
         }
         if (mNoted.contains(run.task())) {
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -56,7 +56,15 @@
 
     private static QueueConfig queue(QueueName name, int priority, double slack, long latency) {
         return new QueueConfig(
-                name, "host", "/" + name, SERVICE, priority, MAX_ATTEMPTS, slack, latency, false,
+                name,
+                "host",
+                "/" + name,
+                SERVICE,
+                priority,
+                MAX_ATTEMPTS,
+                slack,
+                latency,
+                false,
                 null);
     }
 
@@ -85,8 +93,7 @@
 
     void submit(String job, QueueName queue, ProgressRecord progress, StepPlan... steps) {
         JobPlan plan = new JobPlan("spec", List.of(steps), 0, 0, 0);
-        scheduler.onJob(
-                new JobId(job), new JobRecord(queue, TEAM, plan, 0), progress, 0, now);
+        scheduler.onJob(new JobId(job), new JobRecord(queue, TEAM, plan, 0), progress, 0, now);
     }
 
     /** Plans, saves everything and returns the orders. */
@@ -116,8 +123,7 @@
     }
 
     void report(String worker, List<Running> running, List<Ended> ended) {
-        scheduler.onRuns(
-                new WorkerId(worker), new WorkerRuns(now, BORN, running, ended), now, now);
+        scheduler.onRuns(new WorkerId(worker), new WorkerRuns(now, BORN, running, ended), now, now);
     }
 
     static Running running(JobAction order, int percent) {
@@ -160,7 +166,21 @@
 
     static StepPlan gang(int count, int accelerators, long estimateMs, boolean rackLocal) {
         return new StepPlan(
-                count, new Resources(100, 100, accelerators), estimateMs, List.of(), true,
-                rackLocal, "", "", 0, false, false, false, false, 0, 0, "");
+                count,
+                new Resources(100, 100, accelerators),
+                estimateMs,
+                List.of(),
+                true,
+                rackLocal,
+                "",
+                "",
+                0,
+                false,
+                false,
+                false,
+                false,
+                0,
+                0,
+                "");
     }
 }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -48,8 +48,7 @@
             mFixture.submit("j1", BULK, tasks(1, 1, 1_000));
             List<JobAction> actions = mFixture.round();
             mFixture.accept(actions);
-            mFixture.report(
-                    "w1", List.of(), List.of(ended(1, actions.get(0).run(), RunEnd.DONE)));
+            mFixture.report("w1", List.of(), List.of(ended(1, actions.get(0).run(), RunEnd.DONE)));
             assertThat(mScheduler.observed(new WorkerId("w1"))).isZero();
             assertThat(mScheduler.stateOf(JOB)).contains(WorkState.ACTIVE);
             mFixture.saveAll();
@@ -112,8 +111,15 @@
                     WorkState.ACTIVE,
                     List.of(
                             new TaskProgress(
-                                    0, 0, 0, 5, 0, false, new WorkerId(worker),
-                                    JobSchedulerFixture.BORN, "")));
+                                    0,
+                                    0,
+                                    0,
+                                    5,
+                                    0,
+                                    false,
+                                    new WorkerId(worker),
+                                    JobSchedulerFixture.BORN,
+                                    "")));
         }
     }
 
@@ -145,10 +151,14 @@
             mFixture.submit("j1", BULK, gang(2, 8, 1_000, true));
             List<JobAction.Start> starts = starts(mFixture.round());
             mScheduler.onStartAnswer(
-                    starts.get(0).worker(), starts.get(0).run(), OrderAnswer.ACCEPTED,
+                    starts.get(0).worker(),
+                    starts.get(0).run(),
+                    OrderAnswer.ACCEPTED,
                     mFixture.now);
             mScheduler.onStartAnswer(
-                    starts.get(1).worker(), starts.get(1).run(), OrderAnswer.UNHEALTHY,
+                    starts.get(1).worker(),
+                    starts.get(1).run(),
+                    OrderAnswer.UNHEALTHY,
                     mFixture.now);
             assertThat(stops(mScheduler.takeActions()))
                     .extracting(JobAction.Stop::run)
@@ -321,8 +331,22 @@
             mFixture.addWorker("w2", "r1");
             StepPlan spread =
                     new StepPlan(
-                            4, new Resources(100, 100, 1), 1_000, List.of(), false, false, "", "",
-                            1, false, false, false, false, 0, 0, "");
+                            4,
+                            new Resources(100, 100, 1),
+                            1_000,
+                            List.of(),
+                            false,
+                            false,
+                            "",
+                            "",
+                            1,
+                            false,
+                            false,
+                            false,
+                            false,
+                            0,
+                            0,
+                            "");
             mFixture.submit("j1", BULK, spread);
             assertThat(starts(mFixture.round())).hasSize(2);
         }
@@ -333,14 +357,27 @@
             mFixture.addWorker("w1", "r1");
             StepPlan second =
                     new StepPlan(
-                            1, new Resources(100, 100, 1), 1_000, List.of(0), false, false, "",
-                            "", 0, false, false, false, false, 0, 0, "");
+                            1,
+                            new Resources(100, 100, 1),
+                            1_000,
+                            List.of(0),
+                            false,
+                            false,
+                            "",
+                            "",
+                            0,
+                            false,
+                            false,
+                            false,
+                            false,
+                            0,
+                            0,
+                            "");
             mFixture.submit("j1", BULK, tasks(1, 1, 1_000), second);
             List<JobAction> actions = mFixture.round();
             mFixture.accept(actions);
             assertThat(starts(actions)).hasSize(1);
-            mFixture.report(
-                    "w1", List.of(), List.of(ended(1, actions.get(0).run(), RunEnd.DONE)));
+            mFixture.report("w1", List.of(), List.of(ended(1, actions.get(0).run(), RunEnd.DONE)));
             assertThat(starts(mFixture.round()))
                     .extracting(s -> s.run().task().step())
                     .containsExactly(1);
--- a/entry/src/main/java/org/lycheeroad/entry/EntryMain.java
+++ b/entry/src/main/java/org/lycheeroad/entry/EntryMain.java
@@ -18,7 +18,6 @@
 import org.lycheeroad.entry.control.ControlSettings;
 import org.lycheeroad.entry.control.StoreControlPlane;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.entry.settings.EntryOptions;
 import org.lycheeroad.entry.settings.EntrySettings;
 import org.lycheeroad.entry.settings.SettingsException;
@@ -26,6 +25,7 @@
 import org.lycheeroad.state.time.HybridClock;
 import org.lycheeroad.state.topology.EntryInfo;
 import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.transport.events.EventLog;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/entry/src/main/java/org/lycheeroad/entry/api/GangApi.java
+++ b/entry/src/main/java/org/lycheeroad/entry/api/GangApi.java
@@ -11,7 +11,6 @@
 import java.util.function.Function;
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.control.JobWrite;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.api.GangRequest;
 import org.lycheeroad.protocol.api.GangStatus;
 import org.lycheeroad.protocol.api.Problem;
@@ -28,6 +27,7 @@
 import org.lycheeroad.state.shape.Shape;
 import org.lycheeroad.state.table.OperatorTable;
 import org.lycheeroad.state.table.WorkClass;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.transport.http.HttpCall;
 
 /** Accepts, shows and cancels gangs. */
--- a/entry/src/main/java/org/lycheeroad/entry/api/OperatorApi.java
+++ b/entry/src/main/java/org/lycheeroad/entry/api/OperatorApi.java
@@ -8,11 +8,11 @@
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.control.SaveResult;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.table.OperatorTable;
 import org.lycheeroad.state.table.TableProblem;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.transport.http.HttpCall;
 import org.lycheeroad.transport.http.HttpHandler;
 
--- a/entry/src/main/java/org/lycheeroad/entry/duty/PlacementDuty.java
+++ b/entry/src/main/java/org/lycheeroad/entry/duty/PlacementDuty.java
@@ -16,7 +16,6 @@
 import org.lycheeroad.entry.control.ControlListener;
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.worker.OrderResult;
 import org.lycheeroad.protocol.worker.OrdersAnswer;
 import org.lycheeroad.protocol.worker.OrdersRequest;
@@ -37,6 +36,7 @@
 import org.lycheeroad.state.topology.WorkerInfo;
 import org.lycheeroad.transport.duty.Duty;
 import org.lycheeroad.transport.duty.DutyHandler;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.transport.worker.StaleTokenException;
 import org.lycheeroad.transport.worker.WorkerClient;
 
--- a/entry/src/main/java/org/lycheeroad/entry/requests/Forwarder.java
+++ b/entry/src/main/java/org/lycheeroad/entry/requests/Forwarder.java
@@ -11,13 +11,13 @@
 import org.lycheeroad.coordination.routing.RoutingEvent;
 import org.lycheeroad.entry.control.ControlPlane;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.id.RegionId;
 import org.lycheeroad.state.id.RequestId;
 import org.lycheeroad.state.id.TargetId;
 import org.lycheeroad.state.topology.TargetInfo;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.transport.http.HttpStream;
 import org.lycheeroad.transport.target.TargetClient;
 
--- a/entry/src/test/java/org/lycheeroad/entry/RunningEntry.java
+++ b/entry/src/test/java/org/lycheeroad/entry/RunningEntry.java
@@ -20,13 +20,13 @@
 import org.lycheeroad.coordination.routing.FairRequestRouter;
 import org.lycheeroad.coordination.routing.RouterSettings;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.entry.settings.EntryOptions;
 import org.lycheeroad.entry.settings.EntrySettings;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.vm.VmInfo;
 import org.lycheeroad.state.time.HybridClock;
 import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.transport.http.HttpServer;
 
 /** A daemon over loopback sockets with a control plane in memory and a VM list that is served. */
--- a/entry/src/test/java/org/lycheeroad/entry/api/GangApiTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/api/GangApiTest.java
@@ -12,7 +12,6 @@
 import org.lycheeroad.entry.FakeControlPlane;
 import org.lycheeroad.entry.control.ControlListener;
 import org.lycheeroad.entry.control.JobWrite;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.protocol.api.GangStatus;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.state.id.EntryId;
@@ -21,6 +20,7 @@
 import org.lycheeroad.state.job.JobSpec;
 import org.lycheeroad.state.job.JobState;
 import org.lycheeroad.state.time.HybridClock;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.transport.http.HttpCall;
 
 /** The callers' interface for gangs over HTTP, with a control plane in memory. */
--- a/entry/src/test/java/org/lycheeroad/entry/api/OperatorApiTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/api/OperatorApiTest.java
@@ -15,10 +15,10 @@
 import org.lycheeroad.entry.FakeControlPlane;
 import org.lycheeroad.entry.control.SaveResult;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.time.HybridClock;
+import org.lycheeroad.transport.events.EventLog;
 
 /** The operators' interface over HTTP, with a control plane in memory. */
 final class OperatorApiTest {
--- a/entry/src/test/java/org/lycheeroad/entry/duty/PlacementDutyTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/duty/PlacementDutyTest.java
@@ -21,7 +21,6 @@
 import org.lycheeroad.entry.FakeControlPlane;
 import org.lycheeroad.entry.control.ControlListener;
 import org.lycheeroad.entry.events.EntryMetrics;
-import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.id.FailureDomainId;
@@ -40,6 +39,7 @@
 import org.lycheeroad.state.time.HybridClock;
 import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.state.topology.WorkerInfo;
+import org.lycheeroad.transport.events.EventLog;
 import org.lycheeroad.transport.http.HttpClient;
 import org.lycheeroad.transport.worker.WorkerClient;
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/StoreHealth.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/StoreHealth.java
@@ -98,8 +98,9 @@
         if (mFailures >= FAILURES && !mAway) {
             mAway = true;
             mEvents.record(
-                    EventCode.STORE_SILENT, "", "failures=" + mFailures + " last=\""
-                            + failure.getMessage() + '"');
+                    EventCode.STORE_SILENT,
+                    "",
+                    "failures=" + mFailures + " last=\"" + failure.getMessage() + '"');
             probeLater();
         }
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigKeeper.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigKeeper.java
@@ -101,8 +101,11 @@
                         mConfirmedAt = asked;
                         confirmed.complete(current());
                     } else {
-                        askPeers().thenAccept(
-                                any -> confirmed.complete(any ? current() : Optional.empty()));
+                        askPeers()
+                                .thenAccept(
+                                        any ->
+                                                confirmed.complete(
+                                                        any ? current() : Optional.empty()));
                     }
                 });
         return confirmed;
@@ -140,7 +143,11 @@
             mEvents.record(
                     EventCode.CONFIG_IN_FORCE,
                     "",
-                    "version=" + config.version() + " source=" + source + " queues="
+                    "version="
+                            + config.version()
+                            + " source="
+                            + source
+                            + " queues="
                             + config.queues().size());
         }
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -19,7 +19,6 @@
 import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.QueueConfig;
 import org.lycheeroad.state.work.StepPlan;
-import org.lycheeroad.state.work.WorkState;
 
 /**
  * Serves the calls of callers.
@@ -73,11 +72,13 @@
                 access -> {
                     Optional<JobId> id = jobId(request, access);
                     if (id.isEmpty()) {
-                        return done((CallerAnswer) new CallerAnswer.Malformed("the path must end in a job id"));
+                        return done(
+                                (CallerAnswer)
+                                        new CallerAnswer.Malformed(
+                                                "the path must end in a job id"));
                     }
                     JobRecord record =
-                            new JobRecord(
-                                    access.queue.name(), access.team, plan, mClock.wallMs());
+                            new JobRecord(access.queue.name(), access.team, plan, mClock.wallMs());
                     return write(
                                     request,
                                     () -> mJobs.accept(id.get(), record),
@@ -112,7 +113,9 @@
                         return pending(access);
                     }
                     Optional<JobId> id = jobId(request, access);
-                    return id.isEmpty() ? done((CallerAnswer) new CallerAnswer.NoJob()) : state(id.get());
+                    return id.isEmpty()
+                            ? done((CallerAnswer) new CallerAnswer.NoJob())
+                            : state(id.get());
                 });
     }
 
@@ -130,7 +133,8 @@
                 .thenCompose(
                         config -> {
                             if (config.isEmpty()) {
-                                return done((CallerAnswer) new CallerAnswer.Unavailable(RETRY_AFTER_S));
+                                return done(
+                                        (CallerAnswer) new CallerAnswer.Unavailable(RETRY_AFTER_S));
                             }
                             Access access = check(config.get(), request);
                             return access.refusal == null
@@ -183,9 +187,7 @@
                         mStrand.whenDone(
                                 byOwner.get(),
                                 (relayed, x) ->
-                                        goOn(
-                                                direct, byOwner, giveUpAt, unknown, relayed,
-                                                result));
+                                        goOn(direct, byOwner, giveUpAt, unknown, relayed, result));
                     } else {
                         goOn(direct, byOwner, giveUpAt, unknown, StoreOutcome.REFUSED, result);
                     }
@@ -208,12 +210,10 @@
             result.complete(unknown ? StoreOutcome.UNKNOWN : StoreOutcome.REFUSED);
             return;
         }
-        mStrand.schedule(
-                RETRY_MS, () -> tryWrite(direct, byOwner, giveUpAt, unknown, result));
+        mStrand.schedule(RETRY_MS, () -> tryWrite(direct, byOwner, giveUpAt, unknown, result));
     }
 
-    private CallerAnswer onAccept(
-            JobId id, Access access, JobPlan plan, StoreOutcome outcome) {
+    private CallerAnswer onAccept(JobId id, Access access, JobPlan plan, StoreOutcome outcome) {
         EventCode code =
                 outcome == StoreOutcome.STORED
                         ? EventCode.JOB_ACCEPTED
@@ -221,8 +221,16 @@
         mEvents.record(
                 code,
                 id.value(),
-                "queue=" + access.queue.name() + " team=" + access.team + " outcome=" + outcome
-                        + " config_age_ms=" + mConfig.ageMs() + " plan=" + describe(plan));
+                "queue="
+                        + access.queue.name()
+                        + " team="
+                        + access.team
+                        + " outcome="
+                        + outcome
+                        + " config_age_ms="
+                        + mConfig.ageMs()
+                        + " plan="
+                        + describe(plan));
         return switch (outcome) {
             case STORED -> new CallerAnswer.Accepted();
             case REFUSED -> new CallerAnswer.Unavailable(RETRY_AFTER_S);
@@ -243,8 +251,7 @@
     /** The owner knows the newest state; the store knows what a new owner has yet to read. */
     private CompletableFuture<CallerAnswer> state(JobId id) {
         return mOwner.stateOf(id)
-                .thenCompose(
-                        own -> own.isPresent() ? done(own) : mPeers.state(id))
+                .thenCompose(own -> own.isPresent() ? done(own) : mPeers.state(id))
                 .thenCompose(
                         state ->
                                 state.isPresent()
@@ -267,17 +274,12 @@
     private CompletableFuture<CallerAnswer> pending(Access access) {
         return mOwner.pending(access.queue.name())
                 .thenCompose(
-                        own ->
-                                own.isPresent()
-                                        ? done(own)
-                                        : mPeers.pending(access.queue.name()))
+                        own -> own.isPresent() ? done(own) : mPeers.pending(access.queue.name()))
                 .thenApply(
                         count ->
                                 count.<CallerAnswer>map(CallerAnswer.Pending::new)
                                         .orElseGet(
-                                                () ->
-                                                        new CallerAnswer.Unavailable(
-                                                                RETRY_AFTER_S)));
+                                                () -> new CallerAnswer.Unavailable(RETRY_AFTER_S)));
     }
 
     private static Optional<JobId> jobId(CallerRequest request, Access access) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobStore.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobStore.java
@@ -87,8 +87,7 @@
                 throw new IllegalStateException("progress of a job cannot be read", e);
             }
         }
-        return Optional.of(
-                cancel.isPresent() && !state.isEnded() ? WorkState.CANCELLED : state);
+        return Optional.of(cancel.isPresent() && !state.isEnded() ? WorkState.CANCELLED : state);
     }
 
     private CompletableFuture<StoreOutcome> writeCancel(JobId id, Item job) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/LogConfigurator.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/LogConfigurator.java
@@ -35,8 +35,7 @@
         ring.setNeverBlock(true);
         ring.addAppender(console(context, PATTERN));
         ring.start();
-        ch.qos.logback.classic.Logger root =
-                context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+        ch.qos.logback.classic.Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
         root.setLevel(Level.INFO);
         root.addAppender(ring);
         return ExecutionStatus.DO_NOT_INVOKE_NEXT_IF_ANY;
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -152,7 +152,10 @@
     private void grant(Optional<Item> epochItem) {
         long epoch;
         try {
-            epoch = epochItem.isEmpty() ? 0 : Long.parseLong(epochItem.get().value().toStringUtf8());
+            epoch =
+                    epochItem.isEmpty()
+                            ? 0
+                            : Long.parseLong(epochItem.get().value().toStringUtf8());
         } catch (NumberFormatException e) {
             mEvents.record(EventCode.RECORD_UNREADABLE, "", "key=" + StoreKeys.EPOCH);
             retry();
@@ -179,8 +182,14 @@
                                 new Condition(StoreKeys.OWNER, 0),
                                 new Condition(StoreKeys.EPOCH, epochRevision)),
                         List.of(
-                                new Write(StoreKeys.EPOCH, ByteString.copyFromUtf8(Long.toString(epoch)), 0),
-                                new Write(StoreKeys.OWNER, ByteString.copyFromUtf8(Json.write(record)), lease)),
+                                new Write(
+                                        StoreKeys.EPOCH,
+                                        ByteString.copyFromUtf8(Long.toString(epoch)),
+                                        0),
+                                new Write(
+                                        StoreKeys.OWNER,
+                                        ByteString.copyFromUtf8(Json.write(record)),
+                                        lease)),
                         List.of());
         mStrand.whenDone(
                 mStore.commit(commit),
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -71,6 +71,7 @@
     private boolean mStopped;
     private boolean mSaveTimerSet;
     private long mConfigVersion = -1;
+
     /** When the leases that earlier owners may have granted have certainly ended. */
     private final long mLapsedAt;
 
@@ -309,8 +310,9 @@
             if (!mProgressLoaded) {
                 mProgressLoaded = true;
                 mEvents.record(
-                        EventCode.JOBS_LOADED, "", "records=" + items.size() + " epoch="
-                                + mTerm.epoch());
+                        EventCode.JOBS_LOADED,
+                        "",
+                        "records=" + items.size() + " epoch=" + mTerm.epoch());
             }
         }
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -56,14 +56,17 @@
     private boolean mSilent;
     private long mNextLookAt;
     private boolean mWakeSet;
+
     /** The worker's clock less the own one; the way to the worker makes it a little low. */
     private long mClockOffset;
 
     private boolean mClockKnown;
+
     /** The newest end that was logged, and the incarnation that numbered it. */
     private long mNewestEnd;
 
     private long mEndsBornMs;
+
     /** When all leases that may have been granted have certainly ended. */
     private long mLapsedAt;
 
@@ -145,7 +148,12 @@
         mEvents.record(
                 EventCode.ORDER_SENT,
                 start.run().task().job().value(),
-                "order=start run=" + start.run() + " worker=" + mEntry.id() + " epoch=" + mTerm.epoch());
+                "order=start run="
+                        + start.run()
+                        + " worker="
+                        + mEntry.id()
+                        + " epoch="
+                        + mTerm.epoch());
         mStrand.whenDone(
                 mGateway.start(
                         target(),
@@ -171,15 +179,18 @@
         mEvents.record(
                 EventCode.ORDER_SENT,
                 stop.run().task().job().value(),
-                "order=stop run=" + stop.run() + " worker=" + mEntry.id() + " reason="
+                "order=stop run="
+                        + stop.run()
+                        + " worker="
+                        + mEntry.id()
+                        + " reason="
                         + stop.reason());
         mStrand.whenDone(
                 mGateway.stop(target(), stop.run()),
                 (reply, e) -> {
                     OrderAnswer answer = onReply(reply, "stop", stop.run().toString());
                     if (!mStopped) {
-                        mScheduler.onStopAnswer(
-                                mEntry.id(), stop.run(), answer, mClock.steadyMs());
+                        mScheduler.onStopAnswer(mEntry.id(), stop.run(), answer, mClock.steadyMs());
                     }
                 });
     }
@@ -275,7 +286,13 @@
             mEvents.record(
                     EventCode.ORDER_REFUSED,
                     "",
-                    "order=" + order + " run=" + run + " worker=" + mEntry.id() + " answer="
+                    "order="
+                            + order
+                            + " run="
+                            + run
+                            + " worker="
+                            + mEntry.id()
+                            + " answer="
                             + answer);
         }
         return answer;
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
@@ -103,7 +103,9 @@
                                     answer -> {
                                         if (answer.isPresent() && answer.get().status() == OK) {
                                             synchronized (texts) {
-                                                texts.add(ByteString.copyFromUtf8(answer.get().text()));
+                                                texts.add(
+                                                        ByteString.copyFromUtf8(
+                                                                answer.get().text()));
                                             }
                                         }
                                     }));
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
@@ -86,6 +86,9 @@
 
     private static void text(HttpCall call, int status, String text) {
         call.answer(
-                status, "text/plain", Map.of(), String.valueOf(text).getBytes(StandardCharsets.UTF_8));
+                status,
+                "text/plain",
+                Map.of(),
+                String.valueOf(text).getBytes(StandardCharsets.UTF_8));
     }
 }
--- a/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
@@ -163,8 +163,7 @@
         mBook.onStart(task);
         String spec = body.path("spec").asText();
         String how = spec.contains("fail") ? "failed" : "done";
-        mLoop.next()
-                .schedule(() -> endLater(run, how), durationMs(spec), TimeUnit.MILLISECONDS);
+        mLoop.next().schedule(() -> endLater(run, how), durationMs(spec), TimeUnit.MILLISECONDS);
         call.answerJson(200, clock().toString());
     }
 
@@ -240,12 +239,7 @@
         }
         ArrayNode finished = body.putArray("finished");
         for (End end : mEnds) {
-            finished.addArray()
-                    .add(end.number)
-                    .add(end.task)
-                    .add(end.attempt)
-                    .add(end.how)
-                    .add("");
+            finished.addArray().add(end.number).add(end.task).add(end.attempt).add(end.how).add("");
         }
         return body;
     }
--- a/standins/src/main/java/org/lycheeroad/standins/platform/KeyValueState.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/KeyValueState.java
@@ -153,8 +153,7 @@
     Answer grant(long ttlMs, long now) {
         long id = mNextLease++;
         mLeases.put(id, new Lease(ttlMs, now + ttlMs));
-        return new Answer(
-                200, mMapper.createObjectNode().put("lease", id).put("ttl_ms", ttlMs));
+        return new Answer(200, mMapper.createObjectNode().put("lease", id).put("ttl_ms", ttlMs));
     }
 
     Answer renew(long id, long now) {
--- a/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
@@ -40,8 +40,7 @@
         mStore.start();
         for (int i = 0; i < executors; i++) {
             ExecutorServer executor =
-                    new ExecutorServer(
-                            "i-" + i, "r1-" + i / PER_RACK, anyPort(), mLoop, mBook);
+                    new ExecutorServer("i-" + i, "r1-" + i / PER_RACK, anyPort(), mLoop, mBook);
             executor.start();
             mExecutors.add(executor);
             mStore.write("servers/" + executor.id(), executor.entry(SERVICE, "ready"));
--- a/standins/src/main/java/org/lycheeroad/standins/platform/RunBook.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/RunBook.java
@@ -7,7 +7,9 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Records the runs of all stand-in executors and the broken promises that can be seen from them. */
+/**
+ * Records the runs of all stand-in executors and the broken promises that can be seen from them.
+ */
 public final class RunBook {
     private final Map<String, Integer> mRunning = new HashMap<>();
     private final Set<String> mDone = new HashSet<>();
--- a/standins/src/main/java/org/lycheeroad/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/StoreServer.java
@@ -78,8 +78,7 @@
     /** Writes a key as the operator or a worker does. */
     public synchronized void write(String key, String text) {
         mState.write(
-                key,
-                Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)));
+                key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)));
         wakeWatches();
     }
 
--- a/state/src/main/java/org/lycheeroad/state/work/ClusterConfig.java
+++ b/state/src/main/java/org/lycheeroad/state/work/ClusterConfig.java
@@ -51,8 +51,7 @@
         for (QueueConfig queue : mQueues) {
             if (queue.host().equalsIgnoreCase(host)
                     && path.startsWith(queue.pathPrefix())
-                    && (best == null
-                            || queue.pathPrefix().length() > best.pathPrefix().length())) {
+                    && (best == null || queue.pathPrefix().length() > best.pathPrefix().length())) {
                 best = queue;
             }
         }
--- a/state/src/main/java/org/lycheeroad/state/work/StepPlan.java
+++ b/state/src/main/java/org/lycheeroad/state/work/StepPlan.java
@@ -52,8 +52,22 @@
     /** Returns a step of plain tasks that neither depend on others nor ask for a place. */
     public static StepPlan plain(int count, Resources need, long estimateMs) {
         return new StepPlan(
-                count, need, estimateMs, List.of(), false, false, "", "", 0, false, false, false,
-                false, 0, 0, "");
+                count,
+                need,
+                estimateMs,
+                List.of(),
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                false,
+                false,
+                false,
+                0,
+                0,
+                "");
     }
 
     /** Returns the room that a task takes on a worker; filling tasks reserve no processor time. */
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -117,9 +117,7 @@
                                     && tookMs < 100;
                         });
                 small.platform.store().setMode(Mode.SERVING);
-                await(
-                        "served again",
-                        () -> small.submit(0, id(2), "ms=50", TASK).status() == 200);
+                await("served again", () -> small.submit(0, id(2), "ms=50", TASK).status() == 200);
                 small.awaitState(0, id(2), "completed");
                 assertThat(small.get(0, id(1)).status()).isEqualTo(410);
             }
@@ -170,7 +168,9 @@
             }
         }
 
-        /** Hunt on wentmont-sched, mix seed 919603474525: tasks of a dead worker never ran again. */
+        /**
+         * Hunt on wentmont-sched, mix seed 919603474525: tasks of a dead worker never ran again.
+         */
         @Test
         void tasksOfASilentWorkerRunElsewhere() throws Exception {
             try (SmallPlatform small = new SmallPlatform(2, 1)) {
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/SmallPlatform.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/SmallPlatform.java
@@ -36,8 +36,7 @@
             int[] ports = freePorts();
             PlatformDaemon daemon =
                     new PlatformDaemon(
-                            platform.settings(
-                                    "vm-" + i, ports[0], ports[1], ports[2], GRACE_S));
+                            platform.settings("vm-" + i, ports[0], ports[1], ports[2], GRACE_S));
             daemon.start();
             daemons.add(daemon);
         }
@@ -57,7 +56,10 @@
 
     HttpAnswer submit(int vm, String id, String spec, String step) {
         return call(
-                vm, "POST", id, PlatformStandIn.KEY,
+                vm,
+                "POST",
+                id,
+                PlatformStandIn.KEY,
                 "{\"spec\":\"" + spec + "\",\"phases\":[" + step + "]}");
     }
 
@@ -70,8 +72,7 @@
     }
 
     HttpAnswer call(int vm, String method, String id, String key, String body) {
-        return call(
-                daemons.get(vm).callers(), method, PlatformStandIn.PREFIX + id, key, body);
+        return call(daemons.get(vm).callers(), method, PlatformStandIn.PREFIX + id, key, body);
     }
 
     void awaitState(int vm, String id, String state) {
