Keep the room that becomes free for waiting gangs; rank late jobs by their use

Change: in each round up to two blocked gangs keep the room that becomes free soonest, against later ranks only; jobs past their objective rank by the latest start at which they are still of use. The owner's lease is 1.5 s with renewals that do not wait for each other.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -44,6 +44,15 @@
     /** How long a step waits for its rack while most workers are idle. */
     private static final long IDLE_WAIT_MS = 1_500;
 
+    /** How many gangs have room kept for them at a time; more would leave too much idle. */
+    private static final int KEEPING_STEPS = 2;
+
+    /** How long an urgent gang waits before room is kept for it: some ends of short tasks. */
+    private static final long URGENT_PATIENCE_MS = 300;
+
+    /** The share of its objective that another gang waits before room is kept for it. */
+    private static final double PATIENCE_SHARE = 0.25;
+
     /** What reclaiming takes at most: two tries of stopping, recording and starting. */
     private static final long RECLAIM_TAKES_MS = 1_300;
 
@@ -56,6 +65,9 @@
     private final Reclaim mReclaim = new Reclaim(mCluster);
     private final ServiceOrder mOrder = new ServiceOrder(mCluster.durations);
 
+    /** The steps for which room has been kept in this round. */
+    private int mRoomKept;
+
     public JobScheduler(SchedulerSettings settings) {
         mSettings = settings;
     }
@@ -191,6 +203,7 @@
             ranks.put(step, mOrder.rank(step, first, now, wallMs));
         }
         waiting.sort(Comparator.comparing(ranks::get));
+        mRoomKept = 0;
         for (StepRun step : waiting) {
             placeStep(step, guaranteed.contains(step.job), now, wallMs);
         }
@@ -415,6 +428,10 @@
             if (loss >= 0) {
                 mReclaim.reclaim(step, step.waiting(), remote, loss, now);
             }
+            if (mayKeepRoom(step, now)) {
+                mRoomKept++;
+                mReclaim.keepRoom(step, step.waiting(), remote, now);
+            }
         }
     }
 
@@ -457,6 +474,20 @@
         return guaranteed || lastMoment ? LOSS_SHARE * Reclaim.work(step, expected) : -1;
     }
 
+    /** Returns whether smaller steps should leave a gang the room that becomes free. */
+    private boolean mayKeepRoom(StepRun step, long now) {
+        if (!step.plan.gang()
+                || mRoomKept >= KEEPING_STEPS
+                || mReclaim.hasClaims(step)) {
+            return false;
+        }
+        long patience =
+                step.job.queue.priority() == 0
+                        ? URGENT_PATIENCE_MS
+                        : Math.round(PATIENCE_SHARE * mOrder.objectiveMs(step.job));
+        return now - step.readySince > patience;
+    }
+
     private static void useClaim(Worker worker, StepRun step) {
         for (Worker.Claim claim : worker.claims) {
             if (claim.step == step) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
@@ -13,15 +13,19 @@
 import org.lycheeroad.state.work.Resources;
 
 /**
- * Frees room for urgent steps by stopping less urgent runs.
+ * Frees room for steps that do not fit: by stopping less urgent runs, or by keeping what becomes
+ * free.
  *
- * <p>Room is freed where the least work is lost, on one rack for steps that need one, and is kept
- * for the step until the stopped runs have ended.
+ * <p>Room is freed where the least work is lost or the least time passes, on one rack for steps that
+ * need one, and is kept for the step until the runs there have ended.
  */
 final class Reclaim {
     /** How long room is kept before the choice is made anew; stops take some 200-400 ms. */
     private static final long CLAIM_MS = 1_000;
 
+    /** The least time until a run ends that is past its expected time. */
+    private static final long OVERDUE_MS = 500;
+
     /**
      * What a run that saves its progress loses at most: work since the last save, and a restart.
      */
@@ -30,23 +34,34 @@
     /** Weighs an accelerator against a core. */
     private static final double CORES_PER_ACCELERATOR = 8;
 
+    /** Which runs may give way, and what that costs. */
+    private interface Yield {
+        boolean mayYield(StepRun step, Run run);
+
+        double cost(Run run, long now);
+    }
+
     private final Cluster mCluster;
+    private final Yield mStopping = new Stopping();
+    private final Yield mEnding = new Ending();
 
     Reclaim(Cluster cluster) {
         mCluster = cluster;
     }
 
-    /** Drops claims that have not been used in time. */
+    /** Drops claims of the last round, and those on stopped runs that were not used in time. */
     void expire(long now) {
         for (Worker worker : mCluster.workers.values()) {
-            worker.claims.removeIf(c -> now - c.madeAt > CLAIM_MS || !c.step.hasWaiting());
+            worker.claims.removeIf(
+                    c -> !c.reclaimed || now > c.expiresAt || !c.step.hasWaiting());
         }
     }
 
+    /** Returns whether runs are being stopped for a step. */
     boolean hasClaims(StepRun step) {
         for (Worker worker : mCluster.workers.values()) {
             for (Claim claim : worker.claims) {
-                if (claim.step == step) {
+                if (claim.step == step && claim.reclaimed) {
                     return true;
                 }
             }
@@ -61,6 +76,32 @@
      * @param maxLoss the most work that may be thrown away, in core-milliseconds
      */
     void reclaim(StepRun step, List<Task> waiting, boolean remote, double maxLoss, long now) {
+        Plan best = best(step, waiting, remote, mStopping, now);
+        if (best != null && best.cost <= maxLoss) {
+            mCluster.dropClaims(step);
+            best.places.forEach((w, n) -> w.claims.add(new Claim(step, n, true, now + CLAIM_MS)));
+            for (Run victim : best.victims) {
+                mCluster.stop(victim, StopReason.RECLAIMED, now);
+                if (victim.task.step.plan.gang()) {
+                    mCluster.stopGang(victim.task.step, victim.ref.attempt(), now);
+                }
+            }
+        }
+    }
+
+    /**
+     * Keeps the room that becomes free soonest for a step's waiting tasks until the next round.
+     *
+     * <p>Rounds go by rank, so kept room binds only steps that come later.
+     */
+    void keepRoom(StepRun step, List<Task> waiting, boolean remote, long now) {
+        Plan best = best(step, waiting, remote, mEnding, now);
+        if (best != null) {
+            best.places.forEach((w, n) -> w.claims.add(new Claim(step, n, false, now)));
+        }
+    }
+
+    private Plan best(StepRun step, List<Task> waiting, boolean remote, Yield yield, long now) {
         List<Worker> usable = new ArrayList<>();
         for (Worker worker : mCluster.workers.values()) {
             if (worker.isUsable(now) && Placement.allows(step, worker)) {
@@ -69,20 +110,9 @@
         }
         Plan best = null;
         for (List<Worker> group : groups(step, usable)) {
-            best = better(best, plan(step, waiting.size(), group, now));
-        }
-        if (best == null && remote) {
-            best = plan(step, waiting.size(), usable, now);
-        }
-        if (best != null && best.cost <= maxLoss) {
-            best.places.forEach((worker, tasks) -> claim(worker, step, tasks, now));
-            for (Run victim : best.victims) {
-                mCluster.stop(victim, StopReason.RECLAIMED, now);
-                if (victim.task.step.plan.gang()) {
-                    mCluster.stopGang(victim.task.step, victim.ref.attempt(), now);
-                }
-            }
+            best = better(best, plan(step, waiting.size(), group, yield, now));
         }
+        return best == null && remote ? plan(step, waiting.size(), usable, yield, now) : best;
     }
 
     /** Where the tasks go and what is stopped for them. */
@@ -108,7 +138,8 @@
         return one == null || (other != null && other.cost < one.cost) ? other : one;
     }
 
-    private Plan plan(StepRun step, int tasks, List<Worker> group, long now) {
+    private static Plan plan(
+            StepRun step, int tasks, List<Worker> group, Yield yield, long now) {
         Map<Worker, Integer> places = new LinkedHashMap<>();
         Map<Run, Boolean> victims = new LinkedHashMap<>();
         Map<Worker, Resources> room = new HashMap<>();
@@ -118,7 +149,8 @@
             Choice best = null;
             for (Worker worker : group) {
                 int placed = places.getOrDefault(worker, 0);
-                Choice choice = choose(step, worker, room.get(worker), placed, victims, now);
+                Choice choice = 
+                        choose(step, worker, room.get(worker), placed, victims, yield, now);
                 if (choice != null && (best == null || choice.cost < best.cost)) {
                     best = choice;
                 }
@@ -141,12 +173,13 @@
     /** What one more task costs on a worker. */
     private record Choice(Worker worker, List<Run> victims, double cost) {}
 
-    private Choice choose(
+    private static Choice choose(
             StepRun step,
             Worker worker,
             Resources room,
             int placed,
             Map<Run, Boolean> victims,
+            Yield yield,
             long now) {
         int most = step.plan.maxPerWorker();
         if (most > 0 && worker.runsOf(step) + placed >= most) {
@@ -157,13 +190,13 @@
         List<Run> chosen = new ArrayList<>();
         double cost = 0;
         if (!need.fitsIn(left)) {
-            for (Run run : byLoss(step, worker, now)) {
+            for (Run run : byCost(step, worker, yield, now)) {
                 if (victims.containsKey(run)) {
                     continue;
                 }
                 left = left.plus(run.room);
                 chosen.add(run);
-                cost += loss(run, now);
+                cost += yield.cost(run, now);
                 if (need.fitsIn(left)) {
                     break;
                 }
@@ -172,14 +205,14 @@
         return need.fitsIn(left) ? new Choice(worker, chosen, cost) : null;
     }
 
-    private List<Run> byLoss(StepRun step, Worker worker, long now) {
+    private static List<Run> byCost(StepRun step, Worker worker, Yield yield, long now) {
         List<Run> runs = new ArrayList<>();
         for (Run run : worker.runs.values()) {
-            if (run.phase != Phase.STOPPING && isStoppable(step, run)) {
+            if (run.phase != Phase.STOPPING && yield.mayYield(step, run)) {
                 runs.add(run);
             }
         }
-        runs.sort(Comparator.comparingDouble(run -> loss(run, now)));
+        runs.sort(Comparator.comparingDouble(run -> yield.cost(run, now)));
         return runs;
     }
 
@@ -193,33 +226,47 @@
         return room;
     }
 
-    private static void claim(Worker worker, StepRun step, int tasks, long now) {
-        Claim claim = new Claim(step, now);
-        claim.tasks = tasks;
-        worker.claims.add(claim);
-    }
-
-    private static boolean isStoppable(StepRun step, Run run) {
-        StepRun other = run.task.step;
-        return other.job.queue.priority() > step.job.queue.priority()
-                && other.plan.mayMiss() == 0
-                && !run.task.done;
-    }
-
     /** Returns the work of a step's tasks, in core-milliseconds. */
     static double work(StepRun step, long taskMs) {
         return step.plan.count() * cores(step.plan.reserved()) * taskMs;
     }
 
-    /** Returns the work that a stop throws away, in core-milliseconds. */
-    private double loss(Run run, long now) {
-        StepRun step = run.task.step;
-        long lost = run.workingSince > 0 ? now - run.workingSince : 0;
-        if (step.plan.checkpointing()) {
-            lost = Math.min(lost, SAVED_LOSS_MS);
+    /** Stops less urgent runs; the cost is the work thrown away, in core-milliseconds. */
+    private static final class Stopping implements Yield {
+        @Override
+        public boolean mayYield(StepRun step, Run run) {
+            StepRun other = run.task.step;
+            return other.job.queue.priority() > step.job.queue.priority()
+                    && other.plan.mayMiss() == 0
+                    && !run.task.done;
+        }
+
+        @Override
+        public double cost(Run run, long now) {
+            StepRun step = run.task.step;
+            long lost = run.workingSince > 0 ? now - run.workingSince : 0;
+            if (step.plan.checkpointing()) {
+                lost = Math.min(lost, SAVED_LOSS_MS);
+            }
+            double loss = cores(run.room) * (lost + 1);
+            return step.plan.gang() ? loss * step.plan.count() : loss;
+        }
+    }
+
+    /** Waits for runs to end; the cost is the time that they still take, in core-milliseconds. */
+    private final class Ending implements Yield {
+        @Override
+        public boolean mayYield(StepRun step, Run run) {
+            return !run.task.step.plan.longRunning();
+        }
+
+        @Override
+        public double cost(Run run, long now) {
+            StepRun step = run.task.step;
+            long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
+            long ran = run.workingSince > 0 ? now - run.workingSince : 0;
+            return cores(run.room) * Math.max(OVERDUE_MS, expected - ran);
         }
-        double loss = cores(run.room) * (lost + 1);
-        return step.plan.gang() ? loss * step.plan.count() : loss;
     }
 
     private static double cores(Resources room) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ServiceOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ServiceOrder.java
@@ -1,8 +1,8 @@
 package org.lycheeroad.coordination.jobs;
 
 /**
- * Ranks waiting steps: first what is guaranteed, then what can still be in time, then what can
- * still be of some use.
+ * Ranks waiting steps: first what is guaranteed, then what can still be of use, by the latest start
+ * at which it still ends in time or, once that has passed, at which it is still of some use.
  */
 final class ServiceOrder {
     /** How late a job may end and still be of use, as a multiple of its objective. */
@@ -24,9 +24,8 @@
     }
 
     private static final int GUARANTEED = 0;
-    private static final int IN_TIME = 1;
-    private static final int LATE = 2;
-    private static final int TOO_LATE = 3;
+    private static final int USEFUL = 1;
+    private static final int TOO_LATE = 2;
 
     private final Durations mDurations;
 
@@ -41,17 +40,17 @@
         }
         long begin = beginOf(step, now, wallMs);
         if (step.plan.longRunning()) {
-            return new Rank(IN_TIME, begin + bias(job));
+            return new Rank(USEFUL, begin + bias(job));
         }
         long objective = objectiveMs(job);
         long remaining = job.remainingChainMs(step.occurrence, mDurations);
         long latest = begin + objective - remaining;
         if (latest >= now) {
-            return new Rank(IN_TIME, latest + bias(job));
+            return new Rank(USEFUL, latest + bias(job));
         }
         long latestOfUse = begin + LATE_FACTOR * objective - remaining;
         return latestOfUse >= now
-                ? new Rank(LATE, latestOfUse + bias(job))
+                ? new Rank(USEFUL, latestOfUse + bias(job))
                 : new Rank(TOO_LATE, begin);
     }
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -19,15 +19,20 @@
     /** An end that the worker has listed and that waits to be saved. */
     record ListedEnd(long number, JobId job, long version) {}
 
-    /** Room kept for a step that waits for runs to stop. */
+    /** Room kept for a step that waits for runs to end. */
     static final class Claim {
-        final StepRun step;
-        final long madeAt;
-        int tasks;
+        public final StepRun step;
+        public final long expiresAt;
+        /** Whether runs were stopped for it, rather than left to end. */
+        public final boolean reclaimed;
 
-        Claim(StepRun step, long madeAt) {
+        public int tasks;
+
+        Claim(StepRun step, int tasks, boolean reclaimed, long expiresAt) {
             this.step = step;
-            this.madeAt = madeAt;
+            this.tasks = tasks;
+            this.reclaimed = reclaimed;
+            this.expiresAt = expiresAt;
         }
 
         Resources room() {
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -418,6 +418,38 @@
         }
     }
 
+    @Nested
+    class WideGangs {
+        /** Pattern: a stream of small tasks takes each place that becomes free (fcvf scale-2). */
+        @Test
+        void smallTasksLeaveAWaitingGangTheRoomThatBecomesFree() {
+            for (int i = 0; i < 4; i++) {
+                mFixture.addWorker("w" + i, "r1");
+            }
+            mFixture.submit("long", BULK, tasks(4, 8, 2_000));
+            List<JobAction> running = mFixture.round();
+            mFixture.accept(running);
+            mFixture.submit("wide", URGENT, gang(4, 8, 1_000, false));
+            int end = 1;
+            List<JobAction.Start> gang = List.of();
+            for (int i = 0; i < 4; i++) {
+                mFixture.now += 500;
+                mFixture.submit("small" + i, BULK, tasks(8, 1, 1_000));
+                mFixture.report(
+                        running.get(i).worker().value(),
+                        List.of(),
+                        List.of(ended(end++, running.get(i).run(), RunEnd.DONE)));
+                List<JobAction> actions = mFixture.round();
+                mFixture.accept(actions);
+                gang =
+                        starts(actions).stream()
+                                .filter(s -> s.run().task().job().equals(new JobId("wide")))
+                                .toList();
+            }
+            assertThat(gang).hasSize(4);
+        }
+    }
+
     @Nested
     class Guarantees {
         /** Pattern: a crest of urgent jobs meets a cluster that bulk work fills. */
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -36,9 +36,10 @@
     }
 
     /** The time after which a dead owner is replaced; several times a slow store's answer. */
-    private static final long LEASE_MS = 2_000;
+    private static final long LEASE_MS = 1_500;
 
-    private static final long RENEW_MS = 450;
+    /** Renewals do not wait for the answers to earlier ones, so that one lost answer does no harm. */
+    private static final long RENEW_MS = 350;
 
     /** Covers the store's own clock and the rounding of its timers. */
     private static final long LEASE_MARGIN_MS = 150;
@@ -222,6 +223,7 @@
         if (mTerm != term) {
             return;
         }
+        renewLater(term);
         long asked = mClock.steadyMs();
         mStrand.whenDone(
                 mStore.renewLease(term.lease()),
@@ -238,7 +240,6 @@
                     if (e == null) {
                         term.extend(asked + LEASE_MS - LEASE_MARGIN_MS);
                     }
-                    renewLater(term);
                 });
     }
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Term.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Term.java
@@ -40,10 +40,10 @@
         return mLease;
     }
 
-    /** Extends the term to a moment of the steady clock. */
+    /** Extends the term to a moment of the steady clock; answers may come out of order. */
     void extend(long untilMs) {
         mWallOffset = mClock.wallMs() - mClock.steadyMs();
-        mValidUntil = untilMs;
+        mValidUntil = Math.max(mValidUntil, untilMs);
     }
 
     void end() {
