--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -476,9 +476,7 @@
 
     /** Returns whether smaller steps should leave a gang the room that becomes free. */
     private boolean mayKeepRoom(StepRun step, long now) {
-        if (!step.plan.gang()
-                || mRoomKept >= KEEPING_STEPS
-                || mReclaim.hasClaims(step)) {
+        if (!step.plan.gang() || mRoomKept >= KEEPING_STEPS || mReclaim.hasClaims(step)) {
             return false;
         }
         long patience =
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
@@ -16,8 +16,8 @@
  * Frees room for steps that do not fit: by stopping less urgent runs, or by keeping what becomes
  * free.
  *
- * <p>Room is freed where the least work is lost or the least time passes, on one rack for steps that
- * need one, and is kept for the step until the runs there have ended.
+ * <p>Room is freed where the least work is lost or the least time passes, on one rack for steps
+ * that need one, and is kept for the step until the runs there have ended.
  */
 final class Reclaim {
     /** How long room is kept before the choice is made anew; stops take some 200-400 ms. */
@@ -52,8 +52,7 @@
     /** Drops claims of the last round, and those on stopped runs that were not used in time. */
     void expire(long now) {
         for (Worker worker : mCluster.workers.values()) {
-            worker.claims.removeIf(
-                    c -> !c.reclaimed || now > c.expiresAt || !c.step.hasWaiting());
+            worker.claims.removeIf(c -> !c.reclaimed || now > c.expiresAt || !c.step.hasWaiting());
         }
     }
 
@@ -138,8 +137,7 @@
         return one == null || (other != null && other.cost < one.cost) ? other : one;
     }
 
-    private static Plan plan(
-            StepRun step, int tasks, List<Worker> group, Yield yield, long now) {
+    private static Plan plan(StepRun step, int tasks, List<Worker> group, Yield yield, long now) {
         Map<Worker, Integer> places = new LinkedHashMap<>();
         Map<Run, Boolean> victims = new LinkedHashMap<>();
         Map<Worker, Resources> room = new HashMap<>();
@@ -149,8 +147,7 @@
             Choice best = null;
             for (Worker worker : group) {
                 int placed = places.getOrDefault(worker, 0);
-                Choice choice = 
-                        choose(step, worker, room.get(worker), placed, victims, yield, now);
+                Choice choice = choose(step, worker, room.get(worker), placed, victims, yield, now);
                 if (choice != null && (best == null || choice.cost < best.cost)) {
                     best = choice;
                 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -23,6 +23,7 @@
     static final class Claim {
         public final StepRun step;
         public final long expiresAt;
+
         /** Whether runs were stopped for it, rather than left to end. */
         public final boolean reclaimed;
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -38,7 +38,9 @@
     /** The time after which a dead owner is replaced; several times a slow store's answer. */
     private static final long LEASE_MS = 1_500;
 
-    /** Renewals do not wait for the answers to earlier ones, so that one lost answer does no harm. */
+    /**
+     * Renewals do not wait for the answers to earlier ones, so that one lost answer does no harm.
+     */
     private static final long RENEW_MS = 350;
 
     /** Covers the store's own clock and the rounding of its timers. */
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/layers/LayerRulesTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/layers/LayerRulesTest.java
@@ -13,12 +13,16 @@
 import com.tngtech.archunit.lang.ArchRule;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Guards the module rules of design section 2 against a dependency that slips in. */
@@ -58,6 +62,8 @@
                         ROOT + "protocol..",
                         ROOT + "transport..",
                         ROOT + "entry..",
+                        ROOT + "scheduler..",
+                        ROOT + "platform..",
                         ROOT + "cli.."),
                 noStandIns(IMPURE));
     }
@@ -89,6 +95,47 @@
                 .check(CLASSES);
     }
 
+    /** The adapter may know the scheduler; nothing but stand-ins and tests may know the adapter. */
+    @Test
+    void onlyTheAdapterKnowsThePlatform() {
+        noClasses()
+                .that(
+                        resideInAnyPackage(
+                                PURE[0],
+                                PURE[1],
+                                ROOT + "protocol..",
+                                ROOT + "transport..",
+                                ROOT + "scheduler..",
+                                ROOT + "entry..",
+                                ROOT + "cli.."))
+                .should()
+                .dependOnClassesThat(resideInAPackage(ROOT + "platform.."))
+                .check(CLASSES);
+        noClasses()
+                .that(resideInAPackage(ROOT + "platform.."))
+                .should()
+                .dependOnClassesThat(resideInAPackage(ROOT + "entry.."))
+                .check(CLASSES);
+    }
+
+    /** Guards against names of the platform's wire that leak into the product. */
+    @Test
+    void namesOfTheWireStayInTheAdapter() throws IOException {
+        List<String> names =
+                List.of("run-start", "kv-txn", "kv-watch", "expires_ms", "LYCHEEROAD_NODE_FILE");
+        Path root = Path.of("").toAbsolutePath().getParent();
+        List<String> found = new ArrayList<>();
+        for (String module : List.of("state", "coordination", "transport", "scheduler", "cli")) {
+            try (Stream<Path> files = Files.walk(root.resolve(module).resolve("src/main"))) {
+                for (Path file : files.filter(f -> f.toString().endsWith(".java")).toList()) {
+                    String text = Files.readString(file);
+                    names.stream().filter(text::contains).forEach(n -> found.add(n + file));
+                }
+            }
+        }
+        assertThat(found).isEmpty();
+    }
+
     /** Checks a rule, and that the same rule finds the class that breaks it. */
     private static void check(ArchRule rule, ArchRule sameForImpure) {
         rule.check(CLASSES);
