--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -39,8 +39,8 @@
     static final SchedulerSettings SETTINGS = new SchedulerSettings(3, 2_700, 3_000, 120_000);
     private static final ServiceName SERVICE = new ServiceName("service");
 
-    final JobScheduler scheduler = new JobScheduler(SETTINGS);
-    long now = 1_000_000;
+    public final JobScheduler scheduler = new JobScheduler(SETTINGS);
+    public long now = 1_000_000;
 
     JobSchedulerFixture() {
         scheduler.onConfig(config());
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/SmallPlatform.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/SmallPlatform.java
@@ -23,8 +23,8 @@
     private static final int PORTS = 3;
     private static final int GRACE_S = 1;
 
-    final PlatformStandIn platform;
-    final List<PlatformDaemon> daemons = new ArrayList<>();
+    public final PlatformStandIn platform;
+    public final List<PlatformDaemon> daemons = new ArrayList<>();
     private final EventLoopGroup mLoop =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient mHttp = new HttpClient(mLoop, TIMEOUT_MS, 1 << 20);
