--- a/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
@@ -16,6 +16,7 @@
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.event.EventCode;
+import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.transport.http.HttpClient;
 import org.lycheeroad.transport.http.HttpServer;
 
@@ -102,7 +103,7 @@
         return mApi;
     }
 
-    private Optional<org.lycheeroad.state.topology.HostPort> otherOwner() {
+    private Optional<HostPort> otherOwner() {
         return mOwner.otherOwner();
     }
 }
--- a/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
@@ -15,7 +15,7 @@
     public static final String HOST = "127.0.0.1";
 
     /** The start of the paths of the only queue. */
-    public static final String PREFIX = "/work/";
+    public static final String PREFIX = "/jobs/";
 
     /** The only API key. */
     public static final String KEY = "key-1";
