--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/AdviceQuestion.java
@@ -0,0 +1,17 @@
+package org.lycheeroad.coordination.jobs;
+
+import java.util.List;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.id.WorkerId;
+
+/** Asks a placement policy which of some workers may run a step. */
+public record AdviceQuestion(JobId job, int occurrence, int step, List<WorkerId> workers) {
+    public AdviceQuestion {
+        workers = List.copyOf(workers);
+    }
+
+    @Override
+    public String toString() {
+        return job + "." + occurrence + "." + step;
+    }
+}
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
@@ -20,7 +20,7 @@
     public final Map<JobId, Job> ended = new LinkedHashMap<>();
     public final Set<Job> dirty = new LinkedHashSet<>();
     public final Durations durations = new Durations();
-    public ClusterConfig config = new ClusterConfig(0, List.of(), List.of(), List.of());
+    public ClusterConfig config = new ClusterConfig(0, List.of(), List.of());
     private List<JobAction> mActions = new ArrayList<>();
 
     Job job(JobId id) {
@@ -39,6 +39,15 @@
         return actions;
     }
 
+    /** Returns how long a run still takes at least, by what is known of its queue. */
+    long remainingMs(Run run, long now) {
+        StepRun step = run.task.step;
+        long expected = durations.expectedMs(step.job.record.queue(), step.plan);
+        long ran = run.workingSince > 0 ? now - run.workingSince : 0;
+        long done = Math.max(ran, step.plan.estimateMs() * run.percent / 100);
+        return Math.max(0, expected - done);
+    }
+
     void touch(Job job) {
         job.touch();
         dirty.add(job);
@@ -47,6 +56,7 @@
     /** Creates a run that starts once its record is saved. */
     Run assign(Task task, Worker worker, int attempt) {
         Run run = new Run(new RunRef(task.ref, attempt), task, worker, Phase.RECORDING);
+        run.ticket = task.step.permits.ticketFor(worker);
         task.attempt = attempt;
         task.run = run;
         worker.add(run);
@@ -88,6 +98,10 @@
         mActions.add(new JobAction.Stop(run.worker.id, run.bornMs, run.ref, run.stopReason));
     }
 
+    void sendThrottle(Run run, int percent) {
+        mActions.add(new JobAction.Throttle(run.worker.id, run.bornMs, run.ref, percent));
+    }
+
     void stopStranger(Worker worker, RunRef run) {
         mActions.add(new JobAction.Stop(worker.id, worker.bornMs, run, StopReason.NOT_RECORDED));
     }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -42,13 +42,15 @@
     private final SchedulerSettings mSettings;
     private final Reclaim mReclaim;
     private final ServiceOrder mOrder;
+    private final PolicyAdvice mAdvice;
 
     /** The steps for which room has been kept in this round. */
     private int mRoomKept;
 
-    DecisionRound(Cluster cluster, SchedulerSettings settings) {
+    DecisionRound(Cluster cluster, SchedulerSettings settings, PolicyAdvice advice) {
         mCluster = cluster;
         mSettings = settings;
+        mAdvice = advice;
         mReclaim = new Reclaim(cluster);
         mOrder = new ServiceOrder(cluster.durations);
     }
@@ -135,6 +137,9 @@
                 task.run.recordVersion = step.job.version;
             }
         }
+        if (places.size() < tasks.size()) {
+            mAdvice.ask(step, tasks.size() - places.size(), now);
+        }
         if (places.size() < tasks.size() && !mReclaim.hasClaims(step)) {
             double loss = affordableLoss(step, guaranteed, now, wallMs);
             if (loss >= 0) {
--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Evacuation.java
@@ -0,0 +1,64 @@
+package org.lycheeroad.coordination.jobs;
+
+import java.util.ArrayList;
+import org.lycheeroad.coordination.jobs.Run.Phase;
+import org.lycheeroad.state.work.StepPlan;
+
+/**
+ * Moves work off workers that are about to leave.
+ *
+ * <p>Tasks that save their progress go on to the last moment, for they may still end. Others are
+ * given up as soon as they cannot end in time and another worker has room for them.
+ */
+final class Evacuation {
+    /** When a task that saves its progress is stopped: a stop of up to 900 ms and its answer. */
+    private static final long SAVE_BEFORE_MS = 1_200;
+
+    /** Workers stay somewhat longer than they say, and estimates are rough. */
+    private static final long HOPE_MS = 1_500;
+
+    private final Cluster mCluster;
+
+    Evacuation(Cluster cluster) {
+        mCluster = cluster;
+    }
+
+    void move(long now) {
+        for (Worker worker : mCluster.workers.values()) {
+            if (worker.leavesAt == Long.MAX_VALUE) {
+                continue;
+            }
+            for (Run run : new ArrayList<>(worker.runs.values())) {
+                if (run.phase == Phase.RUNNING && !run.task.done && shouldMove(run, now)) {
+                    mCluster.stop(run, StopReason.WORKER_LEAVES, now);
+                    if (run.task.step.plan.gang()) {
+                        mCluster.stopGang(run.task.step, run.ref.attempt(), now);
+                    }
+                }
+            }
+        }
+    }
+
+    private boolean shouldMove(Run run, long now) {
+        StepPlan plan = run.task.step.plan;
+        long left = run.worker.leavesAt - now;
+        long needed = plan.longRunning() ? Long.MAX_VALUE : mCluster.remainingMs(run, now);
+        if (plan.checkpointing() && !plan.longRunning()) {
+            return left < SAVE_BEFORE_MS && needed > left;
+        }
+        return needed > left + HOPE_MS && hasRoomElsewhere(run, now);
+    }
+
+    private boolean hasRoomElsewhere(Run run, long now) {
+        StepRun step = run.task.step;
+        for (Worker worker : mCluster.workers.values()) {
+            if (worker.isUsable(now)
+                    && Placement.allows(step, worker)
+                    && step.mayUse(worker, now)
+                    && Placement.fits(step, worker, worker.freeFor(step), 1) > 0) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.lycheeroad.coordination.jobs.Run.Phase;
 import org.lycheeroad.coordination.jobs.Worker.ListedEnd;
@@ -34,11 +35,13 @@
     private final SchedulerSettings mSettings;
     private final Cluster mCluster = new Cluster();
     private final RunTracker mTracker = new RunTracker(mCluster);
+    private final Evacuation mEvacuation = new Evacuation(mCluster);
+    private final PolicyAdvice mAdvice = new PolicyAdvice(mCluster);
     private final DecisionRound mRound;
 
     public JobScheduler(SchedulerSettings settings) {
         mSettings = settings;
-        mRound = new DecisionRound(mCluster, settings);
+        mRound = new DecisionRound(mCluster, settings, mAdvice);
     }
 
     /** Puts a configuration in force. */
@@ -91,6 +94,10 @@
         if (worker.entry != null && entry.bornMs() < worker.bornMs) {
             return;
         }
+        // A list that is read again repeats old entries, whose time has partly passed.
+        if (!entry.equals(worker.entry)) {
+            worker.leavesAt = entry.draining() ? now + entry.remainingMs() : Long.MAX_VALUE;
+        }
         worker.entry = entry;
         worker.listed = true;
         if (entry.bornMs() > worker.bornMs) {
@@ -138,6 +145,14 @@
         }
     }
 
+    /** A worker has confirmed at which share of its speed a run works. */
+    public void onThrottled(WorkerId id, RunRef ref, int percent) {
+        Run run = find(id, ref);
+        if (run != null && run.throttleSent == percent) {
+            run.throttle = percent;
+        }
+    }
+
     /** Applies the answer to a stop. */
     public void onStopAnswer(WorkerId id, RunRef ref, OrderAnswer answer, long now) {
         Run run = find(id, ref);
@@ -146,6 +161,17 @@
         }
     }
 
+    /**
+     * Applies a placement policy's answer.
+     *
+     * @param tickets the tickets of the workers that may run the step, or null without an answer
+     * @param validMs how long the tickets are valid, in milliseconds
+     */
+    public void onAdvice(
+            AdviceQuestion question, Map<WorkerId, String> tickets, long validMs, long now) {
+        mAdvice.onAnswer(question, tickets, validMs, now);
+    }
+
     /** The store holds a version of a job's progress; its recorded runs may start. */
     public void onSaved(JobId id, long version, long now) {
         Job job = mCluster.job(id);
@@ -163,8 +189,8 @@
     /** Does what is due and places waiting tasks; {@code wallMs} is the time of day. */
     public void plan(long now, long wallMs) {
         mTracker.tick(now);
+        mEvacuation.move(now);
         mRound.place(now, wallMs);
-        forgetOldJobs(now);
     }
 
     /** Returns the orders to send since the last call. */
@@ -172,6 +198,11 @@
         return mCluster.takeActions();
     }
 
+    /** Returns the questions to placement policies since the last call. */
+    public List<AdviceQuestion> takeQuestions() {
+        return mAdvice.takeQuestions();
+    }
+
     /** Returns what has to be saved since the last call. */
     public List<Unsaved> takeUnsaved() {
         List<Unsaved> unsaved = new ArrayList<>();
@@ -253,6 +284,12 @@
         return worker != null && !(worker.runs.isEmpty() && worker.strangers.isEmpty());
     }
 
+    /** Returns whether a worker runs filling tasks beside serving ones, which needs close looks. */
+    public boolean hasDisturbance(WorkerId id) {
+        Worker worker = mCluster.workers.get(id);
+        return worker != null && worker.hasServing() && worker.hasFilling();
+    }
+
     /** Returns the workers that may have runs. */
     public List<WorkerId> workersWithRuns() {
         return mCluster.workers.keySet().stream().filter(this::hasRuns).toList();
@@ -273,13 +310,18 @@
     public List<JobId> expiredJobs(long now) {
         List<JobId> expired = new ArrayList<>();
         for (Job job : mCluster.ended.values()) {
-            if (now - job.endedAt > 2 * mSettings.statusKeepMs()) {
+            if (job.isSaved() && now - job.endedAt > 2 * mSettings.statusKeepMs()) {
                 expired.add(job.id);
             }
         }
         return expired;
     }
 
+    /** Forgets an ended job whose records have been removed. */
+    public void forgetEnded(JobId id) {
+        mCluster.ended.remove(id);
+    }
+
     private boolean isSaved(ListedEnd end) {
         Job job = mCluster.job(end.job());
         return job == null || job.savedVersion >= end.version();
@@ -340,12 +382,6 @@
         }
     }
 
-    private void forgetOldJobs(long now) {
-        mCluster.ended
-                .values()
-                .removeIf(job -> job.isSaved() && now - job.endedAt > 3 * mSettings.statusKeepMs());
-    }
-
     private static QueueConfig unknownQueue(JobRecord record) {
         return new QueueConfig(
                 record.queue(),
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -26,6 +26,9 @@
     /** Prefers any worker near the data to any other. */
     private static final double REMOTE_COST = 1_000;
 
+    /** Prefers any worker without serving tasks for filling ones. */
+    private static final double SERVING_COST = 500;
+
     /** Avoids workers on which the task has failed, unless no other has room. */
     private static final double FAILED_COST = 10_000;
 
@@ -44,7 +47,7 @@
             long now) {
         List<Worker> allowed = new ArrayList<>();
         for (Worker worker : workers) {
-            if (worker.isUsable(now) && allows(step, worker)) {
+            if (worker.isUsable(now) && allows(step, worker) && step.mayUse(worker, now)) {
                 allowed.add(worker);
             }
         }
@@ -70,8 +73,7 @@
         String label = step.plan.requiredLabel();
         return worker.entry.service().equals(step.job.queue.service())
                 && (label.isEmpty() || worker.entry.labels().contains(label))
-                && !(step.plan.fills() && worker.hasServing())
-                && !(step.plan.serves() && worker.hasFilling());
+                && !step.permits.isRefused(worker);
     }
 
     /** Returns whether some rack, were it empty, would hold all of a step at full speed. */
@@ -178,13 +180,23 @@
         return places;
     }
 
+    /** Filling tasks go where most processor time is idle, and away from serving tasks. */
+    private static double fillingCost(Task task, Worker worker, int taken) {
+        double busyCores = worker.used().cpuMillis() / 1_000.0;
+        double fillingCores =
+                (worker.fillingRuns() + taken) * task.step.plan.need().cpuMillis() / 1_000.0;
+        return busyCores + fillingCores + (worker.hasServing() ? SERVING_COST : 0);
+    }
+
     private static double cost(Task task, Worker worker, int taken) {
         StepRun step = task.step;
         Resources left = worker.freeFor(step).minus(step.plan.reserved().times(taken + 1));
         double cost =
-                left.accelerators()
-                        + left.cpuMillis() / 1_000.0 * ACCELERATORS_PER_CORE
-                        + left.memoryMb() / 1_024.0 * ACCELERATORS_PER_GB;
+                step.plan.fills()
+                        ? fillingCost(task, worker, taken)
+                        : left.accelerators()
+                                + left.cpuMillis() / 1_000.0 * ACCELERATORS_PER_CORE
+                                + left.memoryMb() / 1_024.0 * ACCELERATORS_PER_GB;
         String near = step.plan.dataRack();
         if (!near.isEmpty() && !near.equals(worker.entry.rack().value())) {
             cost += REMOTE_COST;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
@@ -103,7 +103,9 @@
     private Plan best(StepRun step, List<Task> waiting, boolean remote, Yield yield, long now) {
         List<Worker> usable = new ArrayList<>();
         for (Worker worker : mCluster.workers.values()) {
-            if (worker.isUsable(now) && Placement.allows(step, worker)) {
+            if (worker.isUsable(now)
+                    && Placement.allows(step, worker)
+                    && step.mayUse(worker, now)) {
                 usable.add(worker);
             }
         }
@@ -259,10 +261,7 @@
 
         @Override
         public double cost(Run run, long now) {
-            StepRun step = run.task.step;
-            long expected = mCluster.durations.expectedMs(step.job.record.queue(), step.plan);
-            long ran = run.workingSince > 0 ? now - run.workingSince : 0;
-            return cores(run.room) * Math.max(OVERDUE_MS, expected - ran);
+            return cores(run.room) * Math.max(OVERDUE_MS, mCluster.remainingMs(run, now));
         }
     }
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -2,6 +2,7 @@
 
 import org.lycheeroad.state.work.Resources;
 import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.WorkerRuns;
 
 /** One run of a task on a worker; it takes room there until the worker says that it is over. */
 final class Run {
@@ -42,6 +43,19 @@
     public long progressAt;
 
     public long workingSince;
+
+    /** What the worker reported last; see {@link WorkerRuns.Running#usage}. */
+    public long usage;
+
+    /** The share of its speed, in percent, at which the worker has confirmed that it works. */
+    public int throttle = 100;
+
+    /** The share that was ordered last. */
+    public int throttleSent = 100;
+
+    /** When the last order about the speed was sent; 0 for never. */
+    public long throttleSentAt;
+
     public StopReason stopReason;
 
     /** When the last stop was sent. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -42,9 +42,11 @@
     private static final int ESTIMATE_USED_UP = 95;
 
     private final Cluster mCluster;
+    private final FillThrottle mThrottle;
 
     RunTracker(Cluster cluster) {
         mCluster = cluster;
+        mThrottle = new FillThrottle(cluster);
     }
 
     /** Applies a worker's list; {@code askedAt} is when the list was asked for. */
@@ -74,6 +76,7 @@
                 onLost(run, now);
             }
         }
+        mThrottle.onReport(worker, now);
     }
 
     /** A new incarnation holds nothing of the one before. */
@@ -113,6 +116,11 @@
                     stopOthers(run, now);
                 }
             }
+            case BAD_TICKET -> {
+                run.task.step.permits.drop(run.worker.id);
+                mCluster.stop(run, StopReason.REFUSED, now);
+                stopOthers(run, now);
+            }
             default -> {
                 run.worker.quarantinedUntil =
                         Math.max(run.worker.quarantinedUntil, now + REFUSED_PAUSE_MS);
@@ -172,6 +180,7 @@
             run.progressAt = now;
             run.percent = running.percent();
         }
+        run.usage = running.usage();
         if (running.percent() > run.percent) {
             run.percent = running.percent();
             run.progressAt = now;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulerSettings.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulerSettings.java
@@ -5,8 +5,6 @@
  *
  * @param remoteFactor how much longer tasks run away from their data or across racks
  * @param reclaimMs how soon an urgent job within its guarantee must run, in milliseconds
- * @param gangWaitMs how long members of a gang wait for each other, in milliseconds
  * @param statusKeepMs how long ended jobs are shown, in milliseconds
  */
-public record SchedulerSettings(
-        double remoteFactor, long reclaimMs, long gangWaitMs, long statusKeepMs) {}
+public record SchedulerSettings(double remoteFactor, long reclaimMs, long statusKeepMs) {}
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepRun.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepRun.java
@@ -21,6 +21,9 @@
 
     public int gangFailures;
 
+    /** What the queue's placement policy has answered, if it has one. */
+    public final Permits permits = new Permits();
+
     StepRun(Job job, int occurrence, int number) {
         this.job = job;
         this.occurrence = occurrence;
@@ -63,6 +66,11 @@
         return some;
     }
 
+    /** Returns whether the queue's placement policy, if there is one, lets a worker be used now. */
+    boolean mayUse(Worker worker, long now) {
+        return job.queue.advice() == null || permits.isValid(worker, now);
+    }
+
     /** Returns the number of the next attempt, which all members of a gang share. */
     int nextAttempt(Task task) {
         if (!plan.gang()) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -61,10 +61,18 @@
     public boolean seen;
 
     public boolean silent;
+
+    /** The earliest time at which a draining worker leaves. */
+    public long leavesAt = Long.MAX_VALUE;
+
     public long newestEnd;
     public long observed;
     public long quarantinedUntil;
     public long quarantineMs;
+
+    /** The share of their speed, in percent, at which filling tasks work beside serving ones. */
+    public int fillPercent = 100;
+
     private Resources mUsed = Resources.NONE;
 
     Worker(WorkerId id) {
@@ -126,6 +134,10 @@
     }
 
     boolean hasFilling() {
-        return runs.values().stream().anyMatch(r -> r.task.step.plan.fills());
+        return fillingRuns() > 0;
+    }
+
+    int fillingRuns() {
+        return (int) runs.values().stream().filter(r -> r.task.step.plan.fills()).count();
     }
 }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -15,11 +15,11 @@
 import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.ProgressRecord;
 import org.lycheeroad.state.work.QueueConfig;
+import org.lycheeroad.state.work.QueueConfig.AdviceTerms;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.Resources;
 import org.lycheeroad.state.work.RunEnd;
 import org.lycheeroad.state.work.RunRef;
-import org.lycheeroad.state.work.ServiceConfig;
 import org.lycheeroad.state.work.ServiceName;
 import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TeamConfig;
@@ -32,11 +32,15 @@
 final class JobSchedulerFixture {
     static final QueueName URGENT = new QueueName("urgent");
     static final QueueName BULK = new QueueName("bulk");
+
+    /** A queue with a placement policy. */
+    static final QueueName ADVISED = new QueueName("advised");
+
     static final TeamId TEAM = new TeamId("team");
     static final int MAX_ATTEMPTS = 3;
     static final int GUARANTEED = 16;
     static final long BORN = 1_000;
-    static final SchedulerSettings SETTINGS = new SchedulerSettings(3, 2_700, 3_000, 120_000);
+    static final SchedulerSettings SETTINGS = new SchedulerSettings(3, 2_700, 120_000);
     private static final ServiceName SERVICE = new ServiceName("service");
 
     public final JobScheduler scheduler = new JobScheduler(SETTINGS);
@@ -49,11 +53,24 @@
     static ClusterConfig config() {
         return new ClusterConfig(
                 1,
-                List.of(queue(URGENT, 0, 1.5, 600), queue(BULK, 1, 3, 1_500)),
-                List.of(new ServiceConfig(SERVICE, false)),
+                List.of(queue(URGENT, 0, 1.5, 600), queue(BULK, 1, 3, 1_500), advised()),
                 List.of(new TeamConfig(TEAM, List.of("key"), GUARANTEED)));
     }
 
+    private static QueueConfig advised() {
+        return new QueueConfig(
+                ADVISED,
+                "host",
+                "/" + ADVISED,
+                SERVICE,
+                1,
+                MAX_ATTEMPTS,
+                3,
+                1_500,
+                false,
+                new AdviceTerms(20, 5, 3_000));
+    }
+
     private static QueueConfig queue(QueueName name, int priority, double slack, long latency) {
         return new QueueConfig(
                 name,
@@ -69,13 +86,22 @@
     }
 
     static WorkerEntry entry(String id, String rack, boolean draining) {
+        return entry(id, rack, draining, 0);
+    }
+
+    /** Returns the entry of a worker that leaves after some time. */
+    static WorkerEntry leaving(String id, String rack, long remainingMs) {
+        return entry(id, rack, true, remainingMs);
+    }
+
+    private static WorkerEntry entry(String id, String rack, boolean draining, long remainingMs) {
         return new WorkerEntry(
                 new WorkerId(id),
                 BORN,
                 new HostPort("127.0.0.1", 1),
                 SERVICE,
                 draining,
-                0,
+                remainingMs,
                 new Resources(16_000, 32_000, 8),
                 Set.of("a", rack),
                 new RackId(rack));
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/NodeSettings.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/NodeSettings.java
@@ -13,10 +13,8 @@
  * @param seeds addresses of other daemons that may be stale
  * @param holdMaxMs the longest lease that workers grant, in milliseconds
  * @param reclaimMs how soon an urgent job within its guarantee must run, in milliseconds
- * @param gangWaitMs how long members of a gang wait for each other, in milliseconds
  * @param remoteFactor how much longer tasks run away from their data or across racks
  * @param statusKeepMs how long ended jobs are shown, in milliseconds
- * @param configApplyMs how soon a configuration must be in force, in milliseconds
  * @param shutdownMs the time that a daemon has after a termination signal, in milliseconds
  * @param minLeaseMs the shortest lease that the store grants, in milliseconds
  */
@@ -28,10 +26,8 @@
         List<HostPort> seeds,
         long holdMaxMs,
         long reclaimMs,
-        long gangWaitMs,
         double remoteFactor,
         long statusKeepMs,
-        long configApplyMs,
         long shutdownMs,
         long minLeaseMs) {
     public NodeSettings {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
@@ -14,6 +14,7 @@
 import org.lycheeroad.scheduler.port.Catalog;
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.PlacementPolicy;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.topology.HostPort;
@@ -36,6 +37,7 @@
             NodeSettings settings,
             MetadataStore platformStore,
             WorkerGateway gateway,
+            PlacementPolicy policy,
             Catalog catalog,
             HttpClient http,
             EventLoopGroup loop,
@@ -50,7 +52,8 @@
         mConfig = new ConfigKeeper(store, mControl, catalog, peers, clock, events);
         mOwner =
                 new OwnerService(
-                        store, gateway, catalog, mConfig, settings, clock, events, metrics, loop);
+                        store, gateway, policy, catalog, mConfig, settings, clock, events, metrics,
+                        loop);
         JobStore jobs = new JobStore(store);
         mApi = new JobApi(mConfig, jobs, mOwner, peers, mControl, clock, events);
         mPeerServer =
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
@@ -11,6 +11,7 @@
 import org.lycheeroad.scheduler.port.Catalog;
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.PlacementPolicy;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.topology.HostPort;
@@ -21,6 +22,7 @@
 public final class OwnerService {
     private final MetadataStore mStore;
     private final WorkerGateway mGateway;
+    private final PlacementPolicy mPolicy;
     private final Catalog mCatalog;
     private final ConfigKeeper mConfig;
     private final NodeSettings mSettings;
@@ -35,6 +37,7 @@
     public OwnerService(
             MetadataStore store,
             WorkerGateway gateway,
+            PlacementPolicy policy,
             Catalog catalog,
             ConfigKeeper config,
             NodeSettings settings,
@@ -44,6 +47,7 @@
             ScheduledExecutorService timers) {
         mStore = store;
         mGateway = gateway;
+        mPolicy = policy;
         mCatalog = catalog;
         mConfig = config;
         mSettings = settings;
@@ -121,6 +125,7 @@
                     new OwnerSession(
                             mStore,
                             mGateway,
+                            mPolicy,
                             mCatalog,
                             mConfig,
                             mStrand,
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.lycheeroad.coordination.jobs.AdviceQuestion;
 import org.lycheeroad.coordination.jobs.JobAction;
 import org.lycheeroad.coordination.jobs.JobScheduler;
 import org.lycheeroad.coordination.jobs.JobScheduler.Unsaved;
@@ -25,6 +26,7 @@
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.MetadataStore.Item;
+import org.lycheeroad.scheduler.port.PlacementPolicy;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.JobId;
@@ -50,8 +52,15 @@
 
     private static final long WATCH_MS = 10_000;
 
+    /** The time between two removals; ten jobs each time keep up with five jobs a second. */
+    private static final long CLEAN_MS = 2_000;
+
+    /** Policies may take long for many workers; a full queue there is refused at once. */
+    private static final long ADVICE_TIMEOUT_MS = 10_000;
+
     private final MetadataStore mStore;
     private final WorkerGateway mGateway;
+    private final PlacementPolicy mPolicy;
     private final Catalog mCatalog;
     private final ConfigKeeper mConfig;
     private final Strand mStrand;
@@ -63,6 +72,7 @@
     private final Runnable mOnSuperseded;
     private final JobScheduler mScheduler;
     private final ProgressSaver mSaver;
+    private final RecordCleaner mCleaner;
     private final Map<WorkerId, WorkerSession> mWorkers = new LinkedHashMap<>();
     private final Map<JobId, ProgressRecord> mLoadedProgress = new HashMap<>();
     private final Set<JobId> mCancelled = new HashSet<>();
@@ -78,6 +88,7 @@
     OwnerSession(
             MetadataStore store,
             WorkerGateway gateway,
+            PlacementPolicy policy,
             Catalog catalog,
             ConfigKeeper config,
             Strand strand,
@@ -89,6 +100,7 @@
             Runnable onSuperseded) {
         mStore = store;
         mGateway = gateway;
+        mPolicy = policy;
         mCatalog = catalog;
         mConfig = config;
         mStrand = strand;
@@ -103,9 +115,9 @@
                         new SchedulerSettings(
                                 settings.remoteFactor(),
                                 settings.reclaimMs(),
-                                settings.gangWaitMs(),
                                 settings.statusKeepMs()));
         mSaver = new ProgressSaver(store, strand, term, new SaverListener());
+        mCleaner = new RecordCleaner(store, strand, term, events);
         mLapsedAt = WorkerSession.lapseAfter(clock.steadyMs(), settings.holdMaxMs());
     }
 
@@ -146,6 +158,7 @@
         forgetGoneWorkers();
         mScheduler.plan(mClock.steadyMs(), mClock.wallMs());
         sendOrders();
+        mScheduler.takeQuestions().forEach(this::ask);
         if (mScheduler.hasUrgentUnsaved()) {
             save();
         } else if (!mSaveTimerSet) {
@@ -211,6 +224,31 @@
         }
     }
 
+    private void ask(AdviceQuestion question) {
+        mStrand.whenDone(
+                mPolicy.ask(question, ADVICE_TIMEOUT_MS),
+                (advice, e) -> {
+                    if (mStopped) {
+                        return;
+                    }
+                    boolean answered = e == null && advice.isPresent();
+                    mEvents.record(
+                            EventCode.ADVICE_RECEIVED,
+                            question.job().value(),
+                            "step="
+                                    + question
+                                    + " asked="
+                                    + question.workers().size()
+                                    + " allowed="
+                                    + (answered ? advice.get().tickets().size() : "none"));
+                    mScheduler.onAdvice(
+                            question,
+                            answered ? advice.get().tickets() : null,
+                            answered ? advice.get().validMs() : 0,
+                            mClock.steadyMs());
+                });
+    }
+
     private void adoptConfig() {
         mConfig.current()
                 .filter(config -> config.version() > mConfigVersion)
@@ -256,6 +294,14 @@
         watch(StoreKeys.INTAKE, new IntakeListener());
         watch(mCatalog.workerPrefix(), new WorkerListener());
         tick();
+        clean();
+    }
+
+    private void clean() {
+        if (!mStopped) {
+            mCleaner.clean(mScheduler.expiredJobs(mClock.steadyMs()));
+            mStrand.schedule(CLEAN_MS, this::clean);
+        }
     }
 
     private void watch(String prefix, PrefixWatch.Listener listener) {
@@ -333,7 +379,12 @@
 
         @Override
         public void onRemoved(String key) {
-            mCancelled.remove(StoreKeys.jobOf(key));
+            JobId id = StoreKeys.jobOf(key);
+            mCancelled.remove(id);
+            if (StoreKeys.isJob(key)) {
+                mScheduler.forgetEnded(id);
+                mSaver.forget(id);
+            }
         }
     }
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/ProgressSaver.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/ProgressSaver.java
@@ -65,6 +65,11 @@
         mRevisions.put(job, revision);
     }
 
+    /** Forgets a job whose records have been removed. */
+    void forget(JobId job) {
+        mRevisions.remove(job);
+    }
+
     /** Saves these and all that still waits. */
     void save(List<Unsaved> unsaved) {
         unsaved.forEach(u -> mWaiting.put(u.job(), u));
--- /dev/null
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/RecordCleaner.java
@@ -0,0 +1,65 @@
+package org.lycheeroad.scheduler.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.lycheeroad.scheduler.StoreKeys;
+import org.lycheeroad.scheduler.Strand;
+import org.lycheeroad.scheduler.log.Events;
+import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.MetadataStore.Commit;
+import org.lycheeroad.scheduler.port.MetadataStore.CommitResult;
+import org.lycheeroad.scheduler.port.MetadataStore.Condition;
+import org.lycheeroad.state.event.EventCode;
+import org.lycheeroad.state.id.JobId;
+
+/**
+ * Removes what the store holds of jobs that ended long ago.
+ *
+ * <p>All keys of a job go in one commit, so that no later owner finds a job without the progress
+ * that says that it has ended.
+ */
+final class RecordCleaner {
+    /** Three removals a job beside the condition; the store takes 32 rows in a commit. */
+    static final int MAX_JOBS = 10;
+
+    private final MetadataStore mStore;
+    private final Strand mStrand;
+    private final Term mTerm;
+    private final Events mEvents;
+    private boolean mInFlight;
+
+    RecordCleaner(MetadataStore store, Strand strand, Term term, Events events) {
+        mStore = store;
+        mStrand = strand;
+        mTerm = term;
+        mEvents = events;
+    }
+
+    /** Removes the records of some of these jobs; the owner hears of it by its watch. */
+    void clean(List<JobId> expired) {
+        if (mInFlight || expired.isEmpty() || !mTerm.mayAct()) {
+            return;
+        }
+        List<String> removals = new ArrayList<>();
+        for (JobId job : expired.subList(0, Math.min(MAX_JOBS, expired.size()))) {
+            removals.add(StoreKeys.job(job));
+            removals.add(StoreKeys.cancel(job));
+            removals.add(StoreKeys.progress(job));
+        }
+        mInFlight = true;
+        Condition owner = new Condition(StoreKeys.OWNER, mTerm.ownerRevision());
+        mStrand.whenDone(
+                mStore.commit(new Commit(List.of(owner), List.of(), removals)),
+                (result, e) -> {
+                    mInFlight = false;
+                    String outcome =
+                            e != null
+                                    ? "unknown"
+                                    : result instanceof CommitResult.Committed ? "done" : "refused";
+                    mEvents.record(
+                            EventCode.RECORDS_REMOVED,
+                            "",
+                            "jobs=" + removals.size() / 3 + " outcome=" + outcome);
+                });
+    }
+}
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -10,7 +10,6 @@
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.scheduler.port.WorkerGateway.LookReply;
-import org.lycheeroad.scheduler.port.WorkerGateway.Reply;
 import org.lycheeroad.scheduler.port.WorkerGateway.Target;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.WorkerId;
@@ -26,6 +25,9 @@
     /** How long a busy worker waits for an end before it answers a look. */
     private static final long LOOK_WAIT_MS = 1_000;
 
+    /** The same for a worker whose tasks disturb each other: workers measure over half a second. */
+    private static final long CLOSE_LOOK_WAIT_MS = 300;
+
     /** The least time between two looks that find nothing new. */
     private static final long LOOK_PAUSE_MS = 150;
 
@@ -37,6 +39,12 @@
     /** The steady clocks of workers may be 2% slow. */
     private static final double SLOW_CLOCK = 1.02;
 
+    /**
+     * The lease on a worker that is about to leave: some looks. Its tasks can start elsewhere once
+     * the lease has ended, and it does not say when it has gone.
+     */
+    private static final long LEAVING_HOLD_MS = 2_500;
+
     /** Covers the way to the worker and the rounding of clocks. */
     private static final long LAPSE_MARGIN_MS = 400;
 
@@ -92,7 +100,7 @@
         mMetrics = metrics;
         mOnFenced = onFenced;
         // An earlier owner may have extended the lease until its own term ended.
-        mLapsedAt = lapseAfter(clock.steadyMs());
+        mLapsedAt = lapseAfter(clock.steadyMs(), settings.holdMaxMs());
     }
 
     WorkerId id() {
@@ -144,7 +152,7 @@
             return;
         }
         long sent = mClock.steadyMs();
-        mLapsedAt = lapseAfter(sent);
+        mLapsedAt = Math.max(mLapsedAt, lapseAfter(sent));
         mEvents.record(
                 EventCode.ORDER_SENT,
                 start.run().task().job().value(),
@@ -199,7 +207,12 @@
         if (mTerm.mayAct()) {
             mStrand.whenDone(
                     mGateway.throttle(target(), order.run(), order.percent()),
-                    (reply, e) -> onReply(reply, "throttle", order.run().toString()));
+                    (reply, e) -> {
+                        OrderAnswer answer = onReply(reply, "throttle", order.run().toString());
+                        if (!mStopped && answer == OrderAnswer.ACCEPTED) {
+                            mScheduler.onThrottled(mEntry.id(), order.run(), order.percent());
+                        }
+                    });
         }
     }
 
@@ -208,8 +221,9 @@
         // A silent worker's lease is left to end, so that its runs can start elsewhere.
         boolean extend = busy && mClockKnown && !mSilent;
         if (extend) {
-            mLapsedAt = lapseAfter(now);
+            mLapsedAt = Math.max(mLapsedAt, lapseAfter(now));
         }
+        long waitMs = mScheduler.hasDisturbance(mEntry.id()) ? CLOSE_LOOK_WAIT_MS : LOOK_WAIT_MS;
         mLooking = true;
         long bornMs = mEntry.bornMs();
         mMetrics.look();
@@ -218,7 +232,7 @@
                         target(),
                         mScheduler.observed(mEntry.id()),
                         extend ? leaseUntil(now) : 0,
-                        extend ? LOOK_WAIT_MS : 0),
+                        extend ? waitMs : 0),
                 (reply, e) -> onLook(reply, now, bornMs));
     }
 
@@ -277,8 +291,8 @@
         mNextLookAt = now + (mScheduler.hasRuns(mEntry.id()) ? RETRY_MS : IDLE_RETRY_MS);
     }
 
-    private OrderAnswer onReply(Reply reply, String order, String run) {
-        OrderAnswer answer = reply == null ? OrderAnswer.UNKNOWN : reply.answer();
+    private OrderAnswer onReply(OrderAnswer reply, String order, String run) {
+        OrderAnswer answer = reply == null ? OrderAnswer.UNKNOWN : reply;
         if (answer == OrderAnswer.FENCED) {
             mOnFenced.run();
         }
@@ -303,11 +317,17 @@
     }
 
     private long leaseUntil(long now) {
-        return now + mClockOffset + mSettings.holdMaxMs();
+        return now + mClockOffset + holdMs();
     }
 
+    /** Returns when a lease that is granted now has ended; leases granted before may be longer. */
     private long lapseAfter(long now) {
-        return lapseAfter(now, mSettings.holdMaxMs());
+        return lapseAfter(now, holdMs());
+    }
+
+    private long holdMs() {
+        long most = mSettings.holdMaxMs();
+        return mEntry.draining() ? Math.min(most, LEAVING_HOLD_MS) : most;
     }
 
     private void wakeAt(long delayMs) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/port/WorkerGateway.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/port/WorkerGateway.java
@@ -13,15 +13,9 @@
  * <p>Calls never complete exceptionally; a call without an answer has {@link OrderAnswer#UNKNOWN}.
  */
 public interface WorkerGateway {
-    /** The answer that carries no clock. */
-    long NO_CLOCK = -1;
-
     /** Where a worker is and which owner calls it. */
     record Target(WorkerId worker, HostPort address, long epoch) {}
 
-    /** An answer to an order with the worker's clock in milliseconds. */
-    record Reply(OrderAnswer answer, long clockMs) {}
-
     /** An answer to a look; {@code runs} is null unless the look was accepted. */
     record LookReply(OrderAnswer answer, WorkerRuns runs) {}
 
@@ -30,7 +24,7 @@
      *
      * @param leaseUntilMs when everything on the worker ends, on the worker's clock
      */
-    CompletableFuture<Reply> start(
+    CompletableFuture<OrderAnswer> start(
             Target to,
             RunRef run,
             String spec,
@@ -39,10 +33,10 @@
             long leaseUntilMs);
 
     /** Stops a run and bars it from starting later. */
-    CompletableFuture<Reply> stop(Target to, RunRef run);
+    CompletableFuture<OrderAnswer> stop(Target to, RunRef run);
 
     /** Sets the share of its speed at which a run works. */
-    CompletableFuture<Reply> throttle(Target to, RunRef run, int percent);
+    CompletableFuture<OrderAnswer> throttle(Target to, RunRef run, int percent);
 
     /**
      * Lists runs and ends, and extends the lease.
--- /dev/null
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/RecordCleanerTest.java
@@ -0,0 +1,105 @@
+package org.lycheeroad.scheduler.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lycheeroad.scheduler.StoreKeys;
+import org.lycheeroad.scheduler.Strand;
+import org.lycheeroad.scheduler.log.Events;
+import org.lycheeroad.scheduler.owner.ScriptedStore.Pending;
+import org.lycheeroad.scheduler.port.MetadataStore.CommitResult;
+import org.lycheeroad.scheduler.port.MetadataStore.Condition;
+import org.lycheeroad.state.id.EntryId;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.time.HybridClock;
+import org.lycheeroad.transport.events.EventLog;
+
+class RecordCleanerTest {
+    /** The most rows that the store takes in one commit. */
+    private static final int STORE_ROWS = 32;
+
+    private static final long OWNER_REVISION = 10;
+    private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
+    private final Strand mStrand = new Strand("test", mTimers);
+    private final ScriptedStore mStore = new ScriptedStore();
+    private final ManualClock mClock = new ManualClock();
+    private Term mTerm;
+    private RecordCleaner mCleaner;
+
+    @BeforeEach
+    void start() {
+        mTerm = new Term(1, OWNER_REVISION, 1, mClock);
+        mTerm.extend(mClock.steadyMs() + 10_000);
+        Events events = new Events(new EventLog(new EntryId("vm"), new HybridClock(), 16));
+        mCleaner = new RecordCleaner(mStore, mStrand, mTerm, events);
+        mStrand.start();
+    }
+
+    @AfterEach
+    void stop() {
+        mStrand.stop();
+        mTimers.shutdownNow();
+    }
+
+    /** A job without its progress would run again under a later owner. */
+    @Test
+    void allRecordsOfAJobGoInOneCommitOfTheOwner() throws Exception {
+        clean(jobs(40));
+        Pending pending = mStore.nextCommit();
+        List<String> removals = pending.commit().removals();
+        assertThat(pending.commit().conditions())
+                .containsExactly(new Condition(StoreKeys.OWNER, OWNER_REVISION));
+        assertThat(removals.size() + 1).isLessThanOrEqualTo(STORE_ROWS);
+        for (String key : removals) {
+            JobId job = StoreKeys.jobOf(key);
+            assertThat(removals)
+                    .contains(StoreKeys.job(job), StoreKeys.cancel(job), StoreKeys.progress(job));
+        }
+    }
+
+    /** Commits that pile up while the store is slow use up its rate. */
+    @Test
+    void oneCommitIsUnderWayAtATime() throws Exception {
+        clean(jobs(1));
+        Pending pending = mStore.nextCommit();
+        clean(jobs(1));
+        assertThat(mStore.hasCommit()).isFalse();
+        pending.answer().complete(new CommitResult.Committed(20));
+        clean(jobs(1));
+        mStore.nextCommit();
+    }
+
+    /** A VM that is no longer owner must not remove anything. */
+    @Test
+    void nothingIsRemovedAfterTheTerm() throws Exception {
+        mTerm.end();
+        clean(jobs(1));
+        assertThat(mStore.hasCommit()).isFalse();
+    }
+
+    private void clean(List<JobId> jobs) throws Exception {
+        CompletableFuture<Void> done = new CompletableFuture<>();
+        mStrand.execute(
+                () -> {
+                    mCleaner.clean(jobs);
+                    done.complete(null);
+                });
+        done.get(5, TimeUnit.SECONDS);
+    }
+
+    private static List<JobId> jobs(int count) {
+        List<JobId> jobs = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            jobs.add(new JobId("j" + i));
+        }
+        return jobs;
+    }
+}
--- a/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
@@ -21,7 +21,7 @@
  * Stands in for one executor of the platform.
  *
  * <p>A task's {@code spec} says how it behaves: {@code ms=N} is its duration, {@code fail} makes it
- * fail at its end.
+ * fail at its end, and with {@code ticketed} its start needs a ticket of {@link AdviceServer}.
  */
 public final class ExecutorServer implements StandIn {
     private static final int MAX_BODY = 1 << 20;
@@ -156,17 +156,26 @@
             refuse(call, "late");
             return;
         }
+        String spec = body.path("spec").asText();
+        if (spec.contains("ticketed") && !hasTicket(task, body.path("ticket").asText())) {
+            refuse(call, "ticket");
+            return;
+        }
         mLeaseUntil = Math.max(mLeaseUntil, expires);
         Present run = new Present(task, attempt);
         mRunning.put(task, run);
         mHighest.put(task, attempt);
         mBook.onStart(task);
-        String spec = body.path("spec").asText();
         String how = spec.contains("fail") ? "failed" : "done";
         mLoop.next().schedule(() -> endLater(run, how), durationMs(spec), TimeUnit.MILLISECONDS);
         call.answerJson(200, clock().toString());
     }
 
+    private boolean hasTicket(String task, String ticket) {
+        String step = task.substring(0, task.lastIndexOf('.'));
+        return AdviceServer.allows(mId) && ticket.equals(AdviceServer.ticket(mId, step));
+    }
+
     private void stopRun(HttpCall call, JsonNode body) {
         String task = body.path("task").asText();
         int attempt = body.path("attempt").asInt();
--- a/standins/src/main/java/org/lycheeroad/standins/platform/KeyValueState.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/KeyValueState.java
@@ -47,6 +47,10 @@
         return mRevision;
     }
 
+    List<String> keys(String prefix) {
+        return mItems.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+    }
+
     Answer read(String key) {
         Item item = mItems.get(key);
         return item == null ? status(404) : new Answer(200, row(key, item).put("as_of", mRevision));
--- a/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
@@ -1,6 +1,7 @@
 package org.lycheeroad.standins.platform;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
@@ -9,14 +10,17 @@
 import java.util.List;
 import org.lycheeroad.state.topology.HostPort;
 
-/** A small platform on loopback: a store with a configuration, and executors. */
+/** A small platform on loopback: a store with a configuration, executors and advice. */
 public final class PlatformStandIn {
-    /** The host name of the only queue. */
+    /** The host name of all queues. */
     public static final String HOST = "127.0.0.1";
 
-    /** The start of the paths of the only queue. */
+    /** The start of the paths of the plain queue. */
     public static final String PREFIX = "/jobs/";
 
+    /** The start of the paths of the queue with a placement policy. */
+    public static final String ADVISED_PREFIX = "/advised/";
+
     /** The only API key. */
     public static final String KEY = "key-1";
 
@@ -25,19 +29,23 @@
 
     private final EventLoopGroup mLoop;
     private final StoreServer mStore;
+    private final AdviceServer mAdvice;
     private final RunBook mBook = new RunBook();
     private final List<ExecutorServer> mExecutors = new ArrayList<>();
     private final ObjectMapper mMapper = new ObjectMapper();
     private long mVersion = 1;
+    private int mStatusS = 120;
 
     public PlatformStandIn(EventLoopGroup loop) {
         mLoop = loop;
         mStore = new StoreServer(anyPort(), loop);
+        mAdvice = new AdviceServer(anyPort(), loop);
     }
 
     /** Starts the store and some executors, and writes the first configuration. */
     public void start(int executors) throws IOException {
         mStore.start();
+        mAdvice.start();
         for (int i = 0; i < executors; i++) {
             ExecutorServer executor =
                     new ExecutorServer("i-" + i, "r1-" + i / PER_RACK, anyPort(), mLoop, mBook);
@@ -51,22 +59,20 @@
     /** Stops all. */
     public void stop() {
         mExecutors.forEach(ExecutorServer::stop);
+        mAdvice.stop();
         mStore.stop();
     }
 
     /** Writes a new version of the configuration with one API key. */
     public void configure(String key) {
         ObjectNode config = mMapper.createObjectNode().put("version", mVersion++);
-        config.putArray("routes")
-                .addObject()
-                .put("name", "q-1")
-                .put("host", HOST)
-                .put("path_prefix", PREFIX)
-                .put("service", SERVICE)
-                .put("priority", 0)
-                .put("max_attempts", 3)
-                .put("slack_factor", 3.0)
-                .put("target_latency_ms", 1_000);
+        ArrayNode routes = config.putArray("routes");
+        putRoute(routes.addObject(), "q-1", PREFIX);
+        putRoute(routes.addObject(), "q-2", ADVISED_PREFIX)
+                .putObject("advice")
+                .put("decide_ms", 20)
+                .put("period_ms", 1)
+                .put("valid_ms", 3_000);
         config.putArray("services").addObject().put("name", SERVICE);
         ObjectNode tenant = config.putArray("tenants").addObject().put("name", "team-1");
         tenant.putArray("api_keys").add(key);
@@ -84,6 +90,16 @@
         return List.copyOf(mExecutors);
     }
 
+    /** Returns the service for placement policies. */
+    public AdviceServer advice() {
+        return mAdvice;
+    }
+
+    /** Sets how long ended jobs are shown, in seconds, in settings that are made later. */
+    public void setStatusS(int statusS) {
+        mStatusS = statusS;
+    }
+
     /** Returns what ran. */
     public RunBook book() {
         return mBook;
@@ -98,12 +114,13 @@
                 .put("ready", "127.0.0.1:" + ready)
                 .put("control", "127.0.0.1:" + control);
         all.putArray("seeds").add("127.0.0.1:" + control);
+        all.put("advice", mAdvice.address().toString());
         all.putObject("bounds")
                 .put("hold_max_ms", 6_000)
                 .put("reclaim_ms", 2_700)
                 .put("gang_timeout_ms", 3_000)
                 .put("remote_factor", 3)
-                .put("status_s", 120)
+                .put("status_s", mStatusS)
                 .put("config_apply_ms", 3_000)
                 .put("grace_s", graceS);
         all.putObject("platform")
@@ -112,6 +129,17 @@
         return all.toString().getBytes(StandardCharsets.UTF_8);
     }
 
+    private static ObjectNode putRoute(ObjectNode route, String name, String prefix) {
+        return route.put("name", name)
+                .put("host", HOST)
+                .put("path_prefix", prefix)
+                .put("service", SERVICE)
+                .put("priority", 0)
+                .put("max_attempts", 3)
+                .put("slack_factor", 3.0)
+                .put("target_latency_ms", 1_000);
+    }
+
     private static HostPort anyPort() {
         return new HostPort("127.0.0.1", 0);
     }
--- a/standins/src/main/java/org/lycheeroad/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/StoreServer.java
@@ -75,6 +75,11 @@
         mMode = mode;
     }
 
+    /** Returns the keys with a prefix. */
+    public synchronized List<String> keys(String prefix) {
+        return mState.keys(prefix);
+    }
+
     /** Writes a key as the operator or a worker does. */
     public synchronized void write(String key, String text) {
         mState.write(
--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -40,6 +40,8 @@
     WORKER_HEARD(309, "worker answers again"),
     JOBS_LOADED(310, "jobs loaded from the store"),
     RUN_ENDED(311, "run ended"),
+    ADVICE_RECEIVED(312, "placement policy answered"),
+    RECORDS_REMOVED(313, "records of ended jobs removed"),
 
     ATTEMPT_STARTED(400, "attempt at a target started"),
     ATTEMPT_ENDED(401, "attempt at a target ended"),
--- a/state/src/main/java/org/lycheeroad/state/work/ClusterConfig.java
+++ b/state/src/main/java/org/lycheeroad/state/work/ClusterConfig.java
@@ -11,19 +11,13 @@
     private final long mVersion;
     private final List<QueueConfig> mQueues;
     private final Map<QueueName, QueueConfig> mByName = new HashMap<>();
-    private final Map<ServiceName, ServiceConfig> mServices = new HashMap<>();
     private final Map<TeamId, TeamConfig> mTeams = new HashMap<>();
     private final Map<String, TeamId> mKeys = new HashMap<>();
 
-    public ClusterConfig(
-            long version,
-            List<QueueConfig> queues,
-            List<ServiceConfig> services,
-            List<TeamConfig> teams) {
+    public ClusterConfig(long version, List<QueueConfig> queues, List<TeamConfig> teams) {
         mVersion = version;
         mQueues = List.copyOf(queues);
         mQueues.forEach(q -> mByName.put(q.name(), q));
-        services.forEach(s -> mServices.put(s.name(), s));
         for (TeamConfig team : teams) {
             mTeams.put(team.name(), team);
             team.apiKeys().forEach(key -> mKeys.put(key, team.name()));
@@ -68,10 +62,4 @@
         TeamConfig config = mTeams.get(team);
         return config == null ? 0 : config.guaranteedAccelerators();
     }
-
-    /** Returns whether a service's workers refuse what does not fit. */
-    public boolean workersRefuseOverload(ServiceName service) {
-        ServiceConfig config = mServices.get(service);
-        return config != null && config.workersRefuseOverload();
-    }
 }
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -59,6 +59,37 @@
             }
         }
 
+        /** Workers refuse starts without the ticket of the queue's placement policy. */
+        @Test
+        void jobOfAQueueWithAPolicyRunsWhereItIsAllowed() throws Exception {
+            try (SmallPlatform small = new SmallPlatform(4, 1)) {
+                String body = "{\"spec\":\"ms=50 ticketed\",\"phases\":[" + TASKS + "]}";
+                assertThat(small.callAdvised(0, "POST", id(1), body).status()).isEqualTo(200);
+                await(
+                        "job is completed",
+                        () -> small.callAdvised(0, "GET", id(1), "").text().contains("completed"));
+                assertThat(small.platform.book().starts()).isEqualTo(4);
+                assertThat(small.platform.advice().calls()).isEqualTo(1);
+            }
+        }
+
+        /** Records that stay for good fill the store, and a restart reads them all. */
+        @Test
+        void recordsOfAnEndedJobAreRemovedOnceItNeedNotBeShown() throws Exception {
+            try (SmallPlatform small = new SmallPlatform(1, 2, 1)) {
+                assertThat(small.submit(0, id(1), "ms=50", TASK).status()).isEqualTo(200);
+                small.awaitState(1, id(1), "completed");
+                await("job is forgotten", () -> small.get(1, id(1)).status() == 410);
+                assertThat(small.platform.store().keys("lycheeroad/")).noneMatch(k -> isOf(k, 1));
+                assertThat(small.submit(1, id(2), "ms=50", TASK).status()).isEqualTo(200);
+                small.awaitState(0, id(2), "completed");
+            }
+        }
+
+        private static boolean isOf(String key, int job) {
+            return key.contains(id(job));
+        }
+
         /** Bad input must neither be accepted nor do harm. */
         @Test
         void badInputIsRefusedWithAReason() throws Exception {
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/SmallPlatform.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/SmallPlatform.java
@@ -22,6 +22,7 @@
     private static final int TIMEOUT_MS = 5_000;
     private static final int PORTS = 3;
     private static final int GRACE_S = 1;
+    private static final int STATUS_S = 120;
 
     public final PlatformStandIn platform;
     public final List<PlatformDaemon> daemons = new ArrayList<>();
@@ -30,7 +31,13 @@
     private final HttpClient mHttp = new HttpClient(mLoop, TIMEOUT_MS, 1 << 20);
 
     SmallPlatform(int executors, int vms) throws Exception {
+        this(executors, vms, STATUS_S);
+    }
+
+    /** Creates a platform on which ended jobs are shown for some seconds. */
+    SmallPlatform(int executors, int vms, int statusS) throws Exception {
         platform = new PlatformStandIn(mLoop);
+        platform.setStatusS(statusS);
         platform.start(executors);
         for (int i = 0; i < vms; i++) {
             int[] ports = freePorts();
@@ -63,6 +70,11 @@
                 "{\"spec\":\"" + spec + "\",\"phases\":[" + step + "]}");
     }
 
+    HttpAnswer callAdvised(int vm, String method, String id, String body) {
+        String path = PlatformStandIn.ADVISED_PREFIX + id;
+        return call(daemons.get(vm).callers(), method, path, PlatformStandIn.KEY, body);
+    }
+
     HttpAnswer get(int vm, String id) {
         return call(vm, "GET", id, PlatformStandIn.KEY, "");
     }
