--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Cluster.java
@@ -19,10 +19,14 @@
     public final Map<JobId, Job> active = new LinkedHashMap<>();
     public final Map<JobId, Job> ended = new LinkedHashMap<>();
     public final Set<Job> dirty = new LinkedHashSet<>();
-    public final Durations durations = new Durations();
+    public final DurationEstimates durations;
     public ClusterConfig config = new ClusterConfig(0, List.of(), List.of());
     private List<JobAction> mActions = new ArrayList<>();
 
+    Cluster(DurationEstimates durations) {
+        this.durations = durations;
+    }
+
     Job job(JobId id) {
         Job job = active.get(id);
         return job == null ? ended.get(id) : job;
@@ -73,6 +77,7 @@
                         task.step.job.record.plan().spec(),
                         task.step.checkpointFor(task),
                         run.ticket));
+        run.lastSentAt = now;
         if (run.phase == Phase.RECORDING) {
             run.phase = Phase.STARTING;
             run.sentAt = now;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -47,12 +47,13 @@
     /** The steps for which room has been kept in this round. */
     private int mRoomKept;
 
-    DecisionRound(Cluster cluster, SchedulerSettings settings, PolicyAdvice advice) {
+    DecisionRound(
+            Cluster cluster, SchedulerSettings settings, ServiceOrder order, PolicyAdvice advice) {
         mCluster = cluster;
         mSettings = settings;
         mAdvice = advice;
         mReclaim = new Reclaim(cluster);
-        mOrder = new ServiceOrder(cluster.durations);
+        mOrder = order;
     }
 
     /** Assigns workers to the tasks that fit; {@code wallMs} is the time of day. */
@@ -133,8 +134,10 @@
         }
         if (!places.isEmpty()) {
             mCluster.touch(step.job);
+            boolean away = Placement.isRemote(step, places.values());
             for (Task task : places.keySet()) {
                 task.run.recordVersion = step.job.version;
+                task.run.remote = away;
             }
         }
         if (places.size() < tasks.size()) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
@@ -98,7 +98,7 @@
     }
 
     /** Returns the time that the rest of the job takes at least, in milliseconds. */
-    long remainingChainMs(int occurrence, Durations durations) {
+    long remainingChainMs(int occurrence, DurationEstimates durations) {
         List<StepRun> steps = occurrences.get(occurrence);
         long[] end = new long[steps.size()];
         long longest = 0;
@@ -116,7 +116,7 @@
     }
 
     /** Returns the time that the whole job takes at least, in milliseconds. */
-    long chainMs(Durations durations) {
+    long chainMs(DurationEstimates durations) {
         List<StepPlan> steps = record.plan().steps();
         long[] end = new long[steps.size()];
         long longest = 0;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -33,15 +33,24 @@
     public record Unsaved(JobId job, long version, ProgressRecord progress) {}
 
     private final SchedulerSettings mSettings;
-    private final Cluster mCluster = new Cluster();
-    private final RunTracker mTracker = new RunTracker(mCluster);
-    private final Evacuation mEvacuation = new Evacuation(mCluster);
-    private final PolicyAdvice mAdvice = new PolicyAdvice(mCluster);
+    private final Cluster mCluster;
+    private final RunTracker mTracker;
+    private final Evacuation mEvacuation;
+    private final PolicyAdvice mAdvice;
     private final DecisionRound mRound;
 
     public JobScheduler(SchedulerSettings settings) {
+        this(settings, Policies.standard());
+    }
+
+    public JobScheduler(SchedulerSettings settings, Policies policies) {
         mSettings = settings;
-        mRound = new DecisionRound(mCluster, settings, mAdvice);
+        mCluster = new Cluster(policies.newDurations());
+        mTracker = new RunTracker(mCluster, settings);
+        mEvacuation = new Evacuation(mCluster);
+        mAdvice = new PolicyAdvice(mCluster);
+        ServiceOrder order = policies.newOrder(mCluster.durations);
+        mRound = new DecisionRound(mCluster, settings, order, mAdvice);
     }
 
     /** Puts a configuration in force. */
@@ -94,6 +103,7 @@
         if (worker.entry != null && entry.bornMs() < worker.bornMs) {
             return;
         }
+        worker.heardAt = now;
         // A list that is read again repeats old entries, whose time has partly passed.
         if (!entry.equals(worker.entry)) {
             worker.leavesAt = entry.draining() ? now + entry.remainingMs() : Long.MAX_VALUE;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Durations.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/MeanDurations.java
@@ -5,8 +5,8 @@
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.StepPlan;
 
-/** Learns how long tasks of a queue take compared with their callers' estimates. */
-final class Durations {
+/** Expects a time between a task's estimate and the mean of its queue. */
+final class MeanDurations implements DurationEstimates {
     /** The weight of one observation in the mean; about the last 20 tasks count. */
     private static final double WEIGHT = 0.05;
 
@@ -15,13 +15,13 @@
 
     private final Map<QueueName, Mean> mMeans = new HashMap<>();
 
-    /** Notes how long a task ran on a sound worker near its data. */
-    void onDone(QueueName queue, long tookMs) {
+    @Override
+    public void onDone(QueueName queue, StepPlan step, long tookMs) {
         mMeans.computeIfAbsent(queue, k -> new Mean()).add((double) tookMs);
     }
 
-    /** Returns the expected time of a task: between its estimate and its queue's mean. */
-    long expectedMs(QueueName queue, StepPlan step) {
+    @Override
+    public long expectedMs(QueueName queue, StepPlan step) {
         Mean mean = mMeans.get(queue);
         long estimate = step.estimateMs();
         if (mean == null) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -4,9 +4,11 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.lycheeroad.state.id.RackId;
 import org.lycheeroad.state.work.Resources;
 
@@ -26,6 +28,12 @@
     /** Prefers any worker near the data to any other. */
     private static final double REMOTE_COST = 1_000;
 
+    /** Avoids workers without a recent heartbeat, unless no other has room. */
+    private static final double SILENT_COST = 5_000;
+
+    /** Two heartbeats of 1.5 s and the time to the store and back. */
+    private static final long SILENT_MS = 3_600;
+
     /** Prefers any worker without serving tasks for filling ones. */
     private static final double SERVING_COST = 500;
 
@@ -54,18 +62,18 @@
         if (!step.plan.dataRack().isEmpty()) {
             RackId near = new RackId(step.plan.dataRack());
             List<Worker> local = allowed.stream().filter(w -> near.equals(w.entry.rack())).toList();
-            Map<Task, Worker> places = fill(step, waiting, local);
+            Map<Task, Worker> places = fill(step, waiting, local, now);
             if (places.size() == waiting.size() || !remote) {
                 return whole(step, waiting, places);
             }
         }
         if (step.plan.rackLocal() && step.plan.count() > 1) {
-            Map<Task, Worker> places = inOneRack(step, waiting, allowed);
+            Map<Task, Worker> places = inOneRack(step, waiting, allowed, now);
             if (!places.isEmpty() || !remote) {
                 return places;
             }
         }
-        return whole(step, waiting, fill(step, waiting, allowed));
+        return whole(step, waiting, fill(step, waiting, allowed, now));
     }
 
     /** Returns whether a step's tasks may run on a worker, whatever room it has. */
@@ -76,6 +84,19 @@
                 && !step.permits.isRefused(worker);
     }
 
+    /** Returns whether workers are away from a step's data or on several racks against its wish. */
+    static boolean isRemote(StepRun step, Collection<Worker> places) {
+        String near = step.plan.dataRack();
+        Set<RackId> racks = new HashSet<>();
+        for (Worker worker : places) {
+            racks.add(worker.entry.rack());
+            if (!near.isEmpty() && !near.equals(worker.entry.rack().value())) {
+                return true;
+            }
+        }
+        return step.plan.rackLocal() && racks.size() > 1;
+    }
+
     /** Returns whether some rack, were it empty, would hold all of a step at full speed. */
     static boolean hasRack(StepRun step, Collection<Worker> workers) {
         String near = step.plan.dataRack();
@@ -113,9 +134,9 @@
 
     /** Uses the rack with the least room that holds all tasks. */
     private static Map<Task, Worker> inOneRack(
-            StepRun step, List<Task> waiting, List<Worker> allowed) {
+            StepRun step, List<Task> waiting, List<Worker> allowed, long now) {
         if (waiting.size() < step.plan.count()) {
-            return besideOthers(step, waiting, allowed);
+            return besideOthers(step, waiting, allowed, now);
         }
         Map<RackId, List<Worker>> racks = new LinkedHashMap<>();
         allowed.forEach(w -> racks.computeIfAbsent(w.entry.rack(), k -> new ArrayList<>()).add(w));
@@ -127,7 +148,7 @@
                 room += fits(step, worker, worker.freeFor(step), Integer.MAX_VALUE / 64);
             }
             if (room >= waiting.size() && room < bestRoom) {
-                best = fill(step, waiting, rack);
+                best = fill(step, waiting, rack, now);
                 bestRoom = room;
             }
         }
@@ -136,7 +157,7 @@
 
     /** Places the rest of a step on the rack where its other tasks run. */
     private static Map<Task, Worker> besideOthers(
-            StepRun step, List<Task> waiting, List<Worker> allowed) {
+            StepRun step, List<Task> waiting, List<Worker> allowed, long now) {
         RackId rack = null;
         for (Task task : step.tasks) {
             if (task.run != null) {
@@ -147,17 +168,23 @@
         return fill(
                 step,
                 waiting,
-                allowed.stream().filter(w -> used == null || used.equals(w.entry.rack())).toList());
+                allowed.stream().filter(w -> used == null || used.equals(w.entry.rack())).toList(),
+                now);
     }
 
-    private static Map<Task, Worker> fill(StepRun step, List<Task> waiting, List<Worker> workers) {
+    private static Map<Task, Worker> fill(
+            StepRun step, List<Task> waiting, List<Worker> workers, long now) {
         Map<Worker, Integer> room = new HashMap<>();
         Map<Worker, Integer> taken = new HashMap<>();
+        Map<RackId, Integer> idle = new HashMap<>();
         for (Worker worker : workers) {
             int fits = fits(step, worker, worker.freeFor(step), waiting.size());
             if (fits > 0) {
                 room.put(worker, fits);
             }
+            if (worker.runs.isEmpty()) {
+                idle.merge(worker.entry.rack(), 1, Integer::sum);
+            }
         }
         Map<Task, Worker> places = new LinkedHashMap<>();
         for (Task task : waiting) {
@@ -166,7 +193,13 @@
                             .min(
                                     Comparator.comparingDouble(
                                                     (Worker w) ->
-                                                            cost(task, w, taken.getOrDefault(w, 0)))
+                                                            cost(
+                                                                    task,
+                                                                    w,
+                                                                    taken.getOrDefault(w, 0),
+                                                                    now))
+                                            .thenComparing(
+                                                    w -> idle.getOrDefault(w.entry.rack(), 0))
                                             .thenComparing(w -> w.id))
                             .orElse(null);
             if (best == null) {
@@ -188,7 +221,7 @@
         return busyCores + fillingCores + (worker.hasServing() ? SERVING_COST : 0);
     }
 
-    private static double cost(Task task, Worker worker, int taken) {
+    private static double cost(Task task, Worker worker, int taken, long now) {
         StepRun step = task.step;
         Resources left = worker.freeFor(step).minus(step.plan.reserved().times(taken + 1));
         double cost =
@@ -201,6 +234,9 @@
         if (!near.isEmpty() && !near.equals(worker.entry.rack().value())) {
             cost += REMOTE_COST;
         }
+        if (now - worker.heardAt > SILENT_MS) {
+            cost += SILENT_COST;
+        }
         if (task.failedOn.contains(worker.id)) {
             cost += FAILED_COST;
         }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -34,6 +34,15 @@
     /** When the start was first sent. */
     public long sentAt;
 
+    /** When the start was last sent. */
+    public long lastSentAt;
+
+    /** Whether a copy of the start may have arrived without an answer. */
+    public boolean startUnsure;
+
+    /** When it became certain that the worker had begun the run. */
+    public long begunAt = Long.MAX_VALUE;
+
     /** When the worker confirmed the start or the stop; reports asked for later show the effect. */
     public long confirmedAt = Long.MAX_VALUE;
 
@@ -44,6 +53,9 @@
 
     public long workingSince;
 
+    /** Whether it runs away from its data or its step runs across racks. */
+    public boolean remote;
+
     /** What the worker reported last; see {@link WorkerRuns.Running#usage}. */
     public long usage;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -29,9 +29,14 @@
     /** How many steps in a row must fail on a worker before it is blamed. */
     private static final int BLAMED_STEPS = 2;
 
-    /** How long a worker that refused a start gets no further ones. */
+    /** How long a worker that refused a start gets no further ones at first. */
     private static final long REFUSED_PAUSE_MS = 500;
 
+    private static final long MAX_REFUSED_PAUSE_MS = 8_000;
+
+    /** Enough doublings to reach the longest pause. */
+    private static final int MAX_REFUSALS = 4;
+
     /** How long a task may make no progress at least. */
     private static final long STALL_MS = 3_500;
 
@@ -42,10 +47,12 @@
     private static final int ESTIMATE_USED_UP = 95;
 
     private final Cluster mCluster;
+    private final SchedulerSettings mSettings;
     private final FillThrottle mThrottle;
 
-    RunTracker(Cluster cluster) {
+    RunTracker(Cluster cluster, SchedulerSettings settings) {
         mCluster = cluster;
+        mSettings = settings;
         mThrottle = new FillThrottle(cluster);
     }
 
@@ -99,16 +106,20 @@
 
     void onStartAnswer(Run run, OrderAnswer answer, long now) {
         if (run.phase != Phase.STARTING) {
+            run.startUnsure |= answer == OrderAnswer.UNKNOWN;
             return;
         }
         switch (answer) {
             case ACCEPTED -> {
+                run.worker.refusals = 0;
                 run.phase = Phase.RUNNING;
                 run.confirmedAt = now;
+                run.begunAt = now;
                 run.workingSince = now;
                 run.progressAt = now;
             }
             case UNKNOWN -> {
+                run.startUnsure = true;
                 if (now - run.sentAt < REPEAT_START_MS) {
                     mCluster.sendStart(run, now);
                 } else {
@@ -118,19 +129,33 @@
             }
             case BAD_TICKET -> {
                 run.task.step.permits.drop(run.worker.id);
-                mCluster.stop(run, StopReason.REFUSED, now);
-                stopOthers(run, now);
+                giveUp(run, now);
             }
             default -> {
-                run.worker.quarantinedUntil =
-                        Math.max(run.worker.quarantinedUntil, now + REFUSED_PAUSE_MS);
-                // An earlier copy of the start without an answer may still arrive.
-                mCluster.stop(run, StopReason.REFUSED, now);
-                stopOthers(run, now);
+                pause(run.worker, now);
+                giveUp(run, now);
             }
         }
     }
 
+    /** Ends a run whose start was refused. */
+    private void giveUp(Run run, long now) {
+        if (run.startUnsure) {
+            // An earlier copy of the start may still arrive.
+            mCluster.stop(run, StopReason.REFUSED, now);
+        } else {
+            mCluster.release(run);
+        }
+        stopOthers(run, now);
+    }
+
+    /** Sends a worker that refuses starts nothing for a time that grows with each refusal. */
+    private static void pause(Worker worker, long now) {
+        long pause = Math.min(MAX_REFUSED_PAUSE_MS, REFUSED_PAUSE_MS << worker.refusals);
+        worker.refusals = Math.min(worker.refusals + 1, MAX_REFUSALS);
+        worker.quarantinedUntil = Math.max(worker.quarantinedUntil, now + pause);
+    }
+
     void onStopAnswer(Run run, OrderAnswer answer, long now) {
         if (run.phase == Phase.STOPPING && answer == OrderAnswer.ACCEPTED) {
             run.confirmedAt = Math.min(run.confirmedAt, now);
@@ -176,6 +201,7 @@
         if (run.phase == Phase.STARTING || run.phase == Phase.UNCONFIRMED) {
             run.phase = Phase.RUNNING;
             run.confirmedAt = now;
+            run.begunAt = now;
             run.workingSince = now;
             run.progressAt = now;
             run.percent = running.percent();
@@ -236,8 +262,8 @@
         StepRun step = run.task.step;
         run.worker.failedSteps.clear();
         run.worker.quarantineMs = 0;
-        if (run.workingSince > 0 && run.task.attempt == 1) {
-            mCluster.durations.onDone(step.job.record.queue(), now - run.workingSince);
+        if (run.workingSince > 0 && run.task.attempt == 1 && !run.remote) {
+            mCluster.durations.onDone(step.job.record.queue(), step.plan, now - run.workingSince);
         }
         run.task.done = true;
         if (step.plan.gang()) {
@@ -298,10 +324,14 @@
         }
     }
 
-    private static boolean isOverWhenAbsent(Run run, long askedAt) {
+    private boolean isOverWhenAbsent(Run run, long askedAt) {
+        boolean startLapsed = askedAt > run.lastSentAt + mSettings.orderLapseMs();
         return switch (run.phase) {
-            case RECORDING, STARTING -> false;
-            case RUNNING, STOPPING -> askedAt >= run.confirmedAt;
+            case RECORDING -> false;
+            case STARTING -> startLapsed;
+            case RUNNING -> askedAt >= run.confirmedAt;
+            // A run that had begun cannot begin again, whether its stop is confirmed or not.
+            case STOPPING -> askedAt >= Math.min(run.confirmedAt, run.begunAt) || startLapsed;
             // The owner's first look bars orders of earlier owners.
             case UNCONFIRMED -> true;
         };
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ServiceOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ServiceOrder.java
@@ -1,19 +1,7 @@
 package org.lycheeroad.coordination.jobs;
 
-/**
- * Ranks waiting steps: first what is guaranteed, then what can still be of use, by the latest start
- * at which it still ends in time or, once that has passed, at which it is still of some use.
- */
-final class ServiceOrder {
-    /** How late a job may end and still be of use, as a multiple of its objective. */
-    private static final int LATE_FACTOR = 3;
-
-    /** How much earlier a job of the next better priority is served, in milliseconds. */
-    private static final long PRIORITY_MS = 4_000;
-
-    /** How long before the last moment a remote start is taken, if there is room. */
-    private static final long REMOTE_EARLY_MS = 500;
-
+/** In which order waiting steps are served, and until when they wait for a good place. */
+interface ServiceOrder {
     /** The rank of a step; lower comes first. */
     record Rank(int tier, long latestStart) implements Comparable<Rank> {
         @Override
@@ -23,82 +11,14 @@
         }
     }
 
-    private static final int GUARANTEED = 0;
-    private static final int USEFUL = 1;
-    private static final int TOO_LATE = 2;
-
-    private final Durations mDurations;
-
-    ServiceOrder(Durations durations) {
-        mDurations = durations;
-    }
-
-    Rank rank(StepRun step, boolean guaranteed, long now, long wallMs) {
-        Job job = step.job;
-        if (guaranteed) {
-            return new Rank(GUARANTEED, job.acceptedAt);
-        }
-        long begin = beginOf(step, now, wallMs);
-        if (step.plan.longRunning()) {
-            return new Rank(USEFUL, begin + bias(job));
-        }
-        long objective = objectiveMs(job);
-        long remaining = job.remainingChainMs(step.occurrence, mDurations);
-        long latest = begin + objective - remaining;
-        if (latest >= now) {
-            return new Rank(USEFUL, latest + bias(job));
-        }
-        long latestOfUse = begin + LATE_FACTOR * objective - remaining;
-        return latestOfUse >= now
-                ? new Rank(USEFUL, latestOfUse + bias(job))
-                : new Rank(TOO_LATE, begin);
-    }
+    Rank rank(StepRun step, boolean guaranteed, long now, long wallMs);
 
-    /**
-     * Returns whether a step should give up waiting for a place near its data or on one rack.
-     *
-     * <p>A remote start is made at the last moment at which the job still ends in time, or at which
-     * it is still of some use.
-     */
-    boolean shouldRunRemotely(StepRun step, double remoteFactor, long now, long wallMs) {
-        Job job = step.job;
-        long expected = mDurations.expectedMs(job.record.queue(), step.plan);
-        if (step.plan.longRunning()) {
-            return now - step.readySince > expected;
-        }
-        long objective = objectiveMs(job);
-        long begin = beginOf(step, now, wallMs);
-        long rest = job.remainingChainMs(step.occurrence, mDurations) - expected;
-        long remote = Math.round(expected * remoteFactor) + rest;
-        if (now + expected + rest <= begin + objective) {
-            long lastMoment = begin + objective - remote;
-            return now >= lastMoment - REMOTE_EARLY_MS && now <= lastMoment;
-        }
-        return now >= begin + LATE_FACTOR * objective - remote - REMOTE_EARLY_MS;
-    }
+    /** Returns whether a step should give up waiting for a place near its data or on one rack. */
+    boolean shouldRunRemotely(StepRun step, double remoteFactor, long now, long wallMs);
 
     /** Returns the latest start of a step with which its job still ends in time. */
-    long latestStart(StepRun step, long now, long wallMs) {
-        return beginOf(step, now, wallMs)
-                + objectiveMs(step.job)
-                - step.job.remainingChainMs(step.occurrence, mDurations);
-    }
-
-    /** Returns when the time of a step's job begins to count. */
-    private static long beginOf(StepRun step, long now, long wallMs) {
-        Job job = step.job;
-        return job.record.plan().isTimed()
-                ? now - (wallMs - job.record.plan().dueAtMs(step.occurrence))
-                : job.acceptedAt;
-    }
+    long latestStart(StepRun step, long now, long wallMs);
 
     /** Returns the time within which a job should end, in milliseconds. */
-    long objectiveMs(Job job) {
-        return Math.round(job.queue.slackFactor() * job.chainMs(mDurations))
-                + job.queue.targetLatencyMs();
-    }
-
-    private static long bias(Job job) {
-        return job.queue.priority() * PRIORITY_MS;
-    }
+    long objectiveMs(Job job);
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -70,6 +70,12 @@
     public long quarantinedUntil;
     public long quarantineMs;
 
+    /** How many starts the worker has refused since it last took one. */
+    public int refusals;
+
+    /** When the worker last wrote its entry. */
+    public long heardAt;
+
     /** The share of their speed, in percent, at which filling tasks work beside serving ones. */
     public int fillPercent = 100;
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -402,6 +402,40 @@
             assertThat(starts(mFixture.round())).hasSize(3);
         }
 
+        /** Pattern: single tasks take idle workers on every rack, and no rack is left whole. */
+        @Test
+        void singleTasksLeaveTheEmptiestRackWhole() {
+            for (String id : List.of("w1", "w2", "w3")) {
+                mFixture.addWorker(id, "r2");
+            }
+            mFixture.addWorker("w4", "r1");
+            mFixture.addWorker("w5", "r1");
+            mFixture.submit("j1", BULK, tasks(2, 8, 1_000));
+            assertThat(workersOf(starts(mFixture.round()))).containsExactlyInAnyOrder("w4", "w5");
+        }
+
+        /** fcvf quiet-1: a remote start at the last moment of use ended 200 ms too late. */
+        @Test
+        void gangThatCanOnlyEndLateStartsAcrossRacksWithTimeToSpare() {
+            for (int i = 0; i < 9; i++) {
+                mFixture.addWorker("w" + i, "r" + i / 3);
+            }
+            for (int i = 0; i < 3; i++) {
+                String rack = "r" + i;
+                mFixture.submit(
+                        "j" + i, BULK, StepBuilder.step(2, 8, 60_000).dataRack(rack).build());
+            }
+            mFixture.accept(mFixture.round());
+            mFixture.now += 5_000;
+            mFixture.submit("wide", URGENT, gang(3, 8, 1_000, true));
+            mFixture.round();
+            // In time until 1.1 s, of use until 6.3 s; a remote run takes 3 s if expected rightly.
+            mFixture.now += 1_200;
+            assertThat(starts(mFixture.round())).isEmpty();
+            mFixture.now += 600;
+            assertThat(starts(mFixture.round())).hasSize(3);
+        }
+
         /** Pattern: a short queue for one rack; a remote start would take three times as long. */
         @Test
         void gangWaitsForARackWhileTheClusterIsBusy() {
--- /dev/null
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/RefusedOrdersTest.java
@@ -0,0 +1,113 @@
+package org.lycheeroad.coordination.jobs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.BULK;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.running;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.stops;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
+import static org.lycheeroad.coordination.jobs.StepBuilder.step;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Workers that refuse orders for some time.
+ *
+ * <p>Drawn day fresh-f951 of fcvf-grown: gangs waited to the end of the day for stops of runs that
+ * had never begun, on workers that refused the stops too.
+ */
+class RefusedOrdersTest {
+    private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
+    private final JobScheduler mScheduler = mFixture.scheduler;
+
+    RefusedOrdersTest() {
+        mFixture.addWorker("w1", "r1");
+    }
+
+    /** A task that waits for the stop of a run that certainly never began loses that time. */
+    @Test
+    void refusedStartNeedsNoStop() {
+        mFixture.submit("j1", BULK, step(1, 1, 1_000).build());
+        JobAction.Start start = starts(mFixture.round()).get(0);
+        mFixture.addWorker("w2", "r1");
+        answer(start, OrderAnswer.UNHEALTHY);
+        List<JobAction> next = mFixture.round();
+        assertThat(stops(next)).isEmpty();
+        assertThat(workersOf(starts(next))).containsExactly("w2");
+    }
+
+    /** The earlier copy may still arrive after the refusal of the later one. */
+    @Test
+    void refusalAfterAnUnansweredStartNeedsAStop() {
+        mFixture.submit("j1", BULK, step(1, 1, 1_000).build());
+        JobAction.Start start = starts(mFixture.round()).get(0);
+        answer(start, OrderAnswer.UNKNOWN);
+        answer(start, OrderAnswer.UNHEALTHY);
+        assertThat(stops(mScheduler.takeActions())).hasSize(1);
+        mFixture.addWorker("w2", "r1");
+        assertThat(starts(mFixture.round())).isEmpty();
+    }
+
+    /** A worker that refuses all stops would keep the task for as long as it does. */
+    @Test
+    void runThatHadBegunIsOverOnceItIsAbsent() {
+        mFixture.submit("j1", BULK, step(1, 1, 1_000).build());
+        JobAction.Start start = starts(mFixture.round()).get(0);
+        answer(start, OrderAnswer.ACCEPTED);
+        mFixture.report("w1", List.of(running(start, 0)), List.of());
+        mFixture.now += 4_000;
+        mFixture.report("w1", List.of(running(start, 0)), List.of());
+        JobAction.Stop stop = stops(mFixture.round()).get(0);
+        mScheduler.onStopAnswer(stop.worker(), stop.run(), OrderAnswer.UNHEALTHY, mFixture.now);
+        mFixture.now += 10;
+        mFixture.report("w1", List.of(), List.of());
+        assertThat(starts(mFixture.round())).extracting(s -> s.run().attempt()).containsExactly(2);
+    }
+
+    /** Orders carry the time at which they lapse, so that a late one cannot take effect later. */
+    @Test
+    void unansweredStartIsOverOnceItsOrderHasLapsed() {
+        mFixture.submit("j1", BULK, step(1, 1, 1_000).build());
+        JobAction.Start start = starts(mFixture.round()).get(0);
+        answer(start, OrderAnswer.UNKNOWN);
+        assertThat(starts(mScheduler.takeActions())).containsExactly(start);
+        mFixture.now += 2_000;
+        answer(start, OrderAnswer.UNKNOWN);
+        mFixture.report("w1", List.of(), List.of());
+        assertThat(starts(mFixture.round())).isEmpty();
+        mFixture.now += JobSchedulerFixture.SETTINGS.orderLapseMs() + 1;
+        mFixture.report("w1", List.of(), List.of());
+        assertThat(starts(mFixture.round())).extracting(s -> s.run().attempt()).containsExactly(2);
+    }
+
+    /** A gang that tries a refusing worker each half second hardly ever starts as a whole. */
+    @Test
+    void workerThatRefusesAgainAndAgainIsTriedLessOften() {
+        mFixture.submit("j1", BULK, step(1, 1, 1_000).build());
+        int tries = 0;
+        for (int i = 0; i < 100; i++) {
+            for (JobAction.Start start : starts(mFixture.round())) {
+                tries++;
+                answer(start, OrderAnswer.UNHEALTHY);
+            }
+            mFixture.now += 100;
+        }
+        assertThat(tries).isBetween(3, 6);
+    }
+
+    /** Pattern: workers go down and up by turns; a gang with one that is down starts in vain. */
+    @Test
+    void gangAvoidsWorkersWithoutARecentHeartbeat() {
+        mFixture.addWorker("w2", "r1");
+        mFixture.now += 5_000;
+        mFixture.addWorker("w3", "r1");
+        mFixture.addWorker("w4", "r1");
+        mFixture.submit("j1", BULK, step(2, 8, 1_000).gang().build());
+        assertThat(workersOf(starts(mFixture.round()))).containsExactlyInAnyOrder("w3", "w4");
+    }
+
+    private void answer(JobAction.Start start, OrderAnswer answer) {
+        mScheduler.onStartAnswer(start.worker(), start.run(), answer, mFixture.now);
+    }
+}
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
@@ -23,8 +23,8 @@
         /** A key was removed. */
         void onRemoved(String key);
 
-        /** The store has just confirmed that everything up to now has been told. */
-        default void onCurrent() {}
+        /** The store has just confirmed that everything up to a revision has been told. */
+        default void onCurrent(long revision) {}
 
         /** The store does not answer; called for each failed call. */
         default void onFailure() {}
@@ -35,12 +35,22 @@
     /** Short beside the bounds of seconds within which changes count. */
     private static final long RETRY_MS = 150;
 
+    /** Several times the way between regions. */
+    private static final long SLACK_MS = 900;
+
+    /**
+     * How often the pause and the slack are doubled after failures: a change of many values that
+     * many VMs ask for at once may take seconds on a narrow link.
+     */
+    private static final int MAX_DOUBLINGS = 2;
+
     private final MetadataStore mStore;
     private final Strand mStrand;
     private final String mPrefix;
     private final long mWaitMs;
     private final Listener mListener;
     private boolean mStopped;
+    private int mFailures;
 
     public PrefixWatch(
             MetadataStore store, Strand strand, String prefix, long waitMs, Listener listener) {
@@ -82,7 +92,7 @@
             return;
         }
         mListener.onSnapshot(items);
-        mListener.onCurrent();
+        mListener.onCurrent(from);
         watch(from);
     }
 
@@ -95,7 +105,8 @@
     private void watch(long after) {
         if (!mStopped) {
             mStrand.whenDone(
-                    mStore.watch(mPrefix, after, mWaitMs), (c, e) -> onChanges(c, e, after));
+                    mStore.watch(mPrefix, after, mWaitMs, SLACK_MS << mFailures),
+                    (c, e) -> onChanges(c, e, after));
         }
     }
 
@@ -104,6 +115,7 @@
             return;
         }
         if (failure == null) {
+            mFailures = 0;
             for (MetadataStore.Change change : changes.changes()) {
                 if (change.item() == null) {
                     mListener.onRemoved(change.key());
@@ -111,7 +123,7 @@
                     mListener.onItem(change.item());
                 }
             }
-            mListener.onCurrent();
+            mListener.onCurrent(Math.max(after, changes.asOf()));
             watch(Math.max(after, changes.asOf()));
             return;
         }
@@ -121,6 +133,7 @@
             return;
         }
         mListener.onFailure();
-        mStrand.schedule(RETRY_MS, () -> watch(after));
+        mStrand.schedule(RETRY_MS << mFailures, () -> watch(after));
+        mFailures = Math.min(mFailures + 1, MAX_DOUBLINGS);
     }
 }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/StoreHealth.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/StoreHealth.java
@@ -52,9 +52,9 @@
     }
 
     @Override
-    public CompletableFuture<Changes> watch(String prefix, long after, long waitMs) {
+    public CompletableFuture<Changes> watch(String prefix, long after, long waitMs, long slackMs) {
         // The store may cut a waiting watch at any time, so a failed one only asks for a probe.
-        return mStore.watch(prefix, after, waitMs)
+        return mStore.watch(prefix, after, waitMs, slackMs)
                 .whenComplete(
                         (changes, failure) -> {
                             if (failure == null || isAnswer(StoreException.kindOf(failure))) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigKeeper.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigKeeper.java
@@ -12,6 +12,7 @@
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.MetadataStore.Item;
+import org.lycheeroad.scheduler.port.StoreException;
 import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.work.ClusterConfig;
 
@@ -27,9 +28,15 @@
     /** The pause between two questions to the other daemons. */
     private static final long ASK_PEERS_MS = 500;
 
+    /** Several times the way between regions. */
+    private static final long CONFIRM_MS = 900;
+
     /** A configuration confirmed more recently than this is taken as the newest. */
     private static final long FRESH_MS = 50;
 
+    /** A packed configuration and its version at least. */
+    private record Packed(long version, ByteString text) {}
+
     private final MetadataStore mStore;
     private final Strand mStrand;
     private final Catalog mCatalog;
@@ -39,9 +46,18 @@
     private final PrefixWatch mWatch;
     private volatile ClusterConfig mConfig;
     private volatile ByteString mText = ByteString.EMPTY;
+    private volatile Packed mPacked;
     private volatile long mConfirmedAt = Long.MIN_VALUE / 2;
     private long mAskedPeersAt = Long.MIN_VALUE / 2;
 
+    /** The store's revision up to which changes have been told; 0 before the first listing. */
+    private long mRevision;
+
+    private boolean mConfirming;
+
+    /** The confirmation that starts once the present one has ended, or null. */
+    private CompletableFuture<Optional<ClusterConfig>> mNextConfirmation;
+
     public ConfigKeeper(
             MetadataStore store,
             Strand strand,
@@ -71,9 +87,18 @@
         return Optional.ofNullable(mConfig);
     }
 
-    /** Returns the newest configuration in the operators' own form. */
-    public ByteString text() {
-        return mText;
+    /** Returns the newest configuration in the operators' own form, packed, if it is newer. */
+    public Optional<ByteString> packedIfNewer(long version) {
+        Packed packed = mPacked;
+        ClusterConfig config = mConfig;
+        if (config == null || config.version() <= version) {
+            return Optional.empty();
+        }
+        if (packed == null || packed.version < config.version()) {
+            packed = new Packed(config.version(), Gzip.pack(mText));
+            mPacked = packed;
+        }
+        return Optional.of(packed.text);
     }
 
     /** Returns how long ago the configuration was confirmed as the newest, in milliseconds. */
@@ -92,33 +117,92 @@
             return CompletableFuture.completedFuture(current());
         }
         CompletableFuture<Optional<ClusterConfig>> confirmed = new CompletableFuture<>();
+        mStrand.execute(() -> nextConfirmation().thenAccept(confirmed::complete));
+        return confirmed;
+    }
+
+    /** Calls that come while a confirmation is under way get the next one. */
+    private CompletableFuture<Optional<ClusterConfig>> nextConfirmation() {
+        if (mNextConfirmation == null) {
+            mNextConfirmation = new CompletableFuture<>();
+        }
+        CompletableFuture<Optional<ClusterConfig>> next = mNextConfirmation;
+        if (!mConfirming) {
+            startConfirmation();
+        }
+        return next;
+    }
+
+    private void startConfirmation() {
+        CompletableFuture<Optional<ClusterConfig>> confirmation = mNextConfirmation;
+        mNextConfirmation = null;
+        mConfirming = true;
         long asked = mClock.steadyMs();
         mStrand.whenDone(
-                mStore.read(mCatalog.configKey()),
-                (item, e) -> {
+                changed(),
+                (items, e) -> {
                     if (e == null) {
-                        item.ifPresent(i -> adopt(i.value(), "store"));
-                        mConfirmedAt = asked;
-                        confirmed.complete(current());
+                        items.forEach(i -> adopt(i.value(), "store"));
+                        mConfirmedAt = Math.max(mConfirmedAt, asked);
+                        endConfirmation(confirmation, current());
                     } else {
-                        askPeers()
-                                .thenAccept(
-                                        any ->
-                                                confirmed.complete(
-                                                        any ? current() : Optional.empty()));
+                        mStrand.whenDone(
+                                askPeers(),
+                                (any, x) ->
+                                        endConfirmation(
+                                                confirmation, any ? current() : Optional.empty()));
                     }
                 });
-        return confirmed;
+    }
+
+    private void endConfirmation(
+            CompletableFuture<Optional<ClusterConfig>> confirmation,
+            Optional<ClusterConfig> config) {
+        confirmation.complete(config);
+        mConfirming = false;
+        if (mNextConfirmation != null) {
+            startConfirmation();
+        }
+    }
+
+    /** Returns the configuration if it has changed; it may be large, so it is not read anew. */
+    private CompletableFuture<List<Item>> changed() {
+        if (mRevision == 0) {
+            return read();
+        }
+        return mStore.watch(mCatalog.configKey(), mRevision, 0, CONFIRM_MS)
+                .thenApply(
+                        changes ->
+                                changes.changes().stream()
+                                        .map(MetadataStore.Change::item)
+                                        .filter(i -> i != null && isConfig(i))
+                                        .toList())
+                .exceptionallyCompose(
+                        e ->
+                                StoreException.kindOf(e) == StoreException.Kind.COMPACTED
+                                        ? read()
+                                        : CompletableFuture.failedFuture(e));
+    }
+
+    private CompletableFuture<List<Item>> read() {
+        return mStore.read(mCatalog.configKey()).thenApply(item -> item.stream().toList());
+    }
+
+    private boolean isConfig(Item item) {
+        return item.key().equals(mCatalog.configKey());
     }
 
     private CompletableFuture<Boolean> askPeers() {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
+        long version = mConfig == null ? -1 : mConfig.version();
         mStrand.whenDone(
-                mPeers.config(),
-                (texts, e) -> {
-                    boolean any = e == null && !texts.isEmpty();
+                mPeers.config(version),
+                (answers, e) -> {
+                    boolean any = e == null && !answers.isEmpty();
                     if (any) {
-                        texts.forEach(text -> adopt(text, "peer"));
+                        for (Optional<ByteString> newer : answers) {
+                            newer.ifPresent(text -> adopt(text, "peer"));
+                        }
                     }
                     done.complete(any);
                 });
@@ -138,8 +222,9 @@
         }
         ClusterConfig old = mConfig;
         if (old == null || config.version() > old.version()) {
-            mConfig = config;
+            // The text is set first, so that whoever sees the version finds its text.
             mText = text;
+            mConfig = config;
             mEvents.record(
                     EventCode.CONFIG_IN_FORCE,
                     "",
@@ -160,7 +245,7 @@
 
         @Override
         public void onItem(Item item) {
-            if (item.key().equals(mCatalog.configKey())) {
+            if (isConfig(item)) {
                 adopt(item.value(), "store");
             }
         }
@@ -171,8 +256,9 @@
         }
 
         @Override
-        public void onCurrent() {
+        public void onCurrent(long revision) {
             mConfirmedAt = mClock.steadyMs();
+            mRevision = revision;
         }
 
         @Override
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -115,6 +115,7 @@
                         new SchedulerSettings(
                                 settings.remoteFactor(),
                                 settings.reclaimMs(),
+                                WorkerSession.lapseAfter(0, settings.holdMaxMs()),
                                 settings.statusKeepMs()));
         mSaver = new ProgressSaver(store, strand, term, new SaverListener());
         mCleaner = new RecordCleaner(store, strand, term, events);
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
@@ -1,6 +1,7 @@
 package org.lycheeroad.scheduler.peer;
 
 import com.google.protobuf.ByteString;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
@@ -12,6 +13,7 @@
 import java.util.function.Supplier;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
+import org.lycheeroad.scheduler.config.Gzip;
 import org.lycheeroad.scheduler.intake.StoreOutcome;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.topology.HostPort;
@@ -20,18 +22,23 @@
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.transport.http.HttpAnswer;
 import org.lycheeroad.transport.http.HttpClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Calls the owner and other daemons. */
 public final class PeerClient {
     static final String JOBS = "/v1/jobs/";
     static final String PENDING = "/v1/pending/";
     static final String CONFIG = "/v1/config";
+    static final String AFTER = "after";
     static final int OK = 200;
+    static final int NO_CONTENT = 204;
     static final int NOT_FOUND = 404;
 
     /** Some ten times the way between regions. */
     private static final long TIMEOUT_MS = 700;
 
+    private static final Logger LOG = LoggerFactory.getLogger(PeerClient.class);
     private static final byte[] EMPTY = {};
 
     private final HttpClient mHttp;
@@ -89,36 +96,48 @@
         return callOwner("DELETE", JOBS + id, EMPTY).thenApply(PeerClient::outcome);
     }
 
-    /** Asks the owner and the seeds for their configurations. */
-    public CompletableFuture<List<ByteString>> config() {
+    /**
+     * Asks the owner and the seeds for configurations that are newer than a version.
+     *
+     * @return one entry for each daemon that answered, empty if it has none that is newer
+     */
+    public CompletableFuture<List<Optional<ByteString>>> config(long version) {
         Set<HostPort> peers = new LinkedHashSet<>(mSeeds);
         mOwner.get().ifPresent(peers::add);
         peers.remove(mSelf);
-        List<ByteString> texts = new ArrayList<>();
+        List<Optional<ByteString>> answers = new ArrayList<>();
         List<CompletableFuture<?>> calls = new ArrayList<>();
         for (HostPort peer : peers) {
             calls.add(
-                    call(peer, "GET", CONFIG, EMPTY)
+                    call(peer, "GET", CONFIG + "?" + AFTER + "=" + version, EMPTY)
                             .thenAccept(
                                     answer -> {
-                                        if (answer.isPresent() && answer.get().status() == OK) {
-                                            synchronized (texts) {
-                                                texts.add(
-                                                        ByteString.copyFromUtf8(
-                                                                answer.get().text()));
-                                            }
+                                        synchronized (answers) {
+                                            answer.ifPresent(a -> readConfig(a, answers));
                                         }
                                     }));
         }
         return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
                 .thenApply(
                         done -> {
-                            synchronized (texts) {
-                                return List.copyOf(texts);
+                            synchronized (answers) {
+                                return List.copyOf(answers);
                             }
                         });
     }
 
+    private static void readConfig(HttpAnswer answer, List<Optional<ByteString>> answers) {
+        if (answer.status() == NO_CONTENT) {
+            answers.add(Optional.empty());
+        } else if (answer.status() == OK) {
+            try {
+                answers.add(Optional.of(Gzip.unpack(answer.body())));
+            } catch (IOException e) {
+                LOG.warn("A daemon sent a configuration that cannot be unpacked", e);
+            }
+        }
+    }
+
     private CompletableFuture<Optional<HttpAnswer>> callOwner(
             String method, String path, byte[] body) {
         Optional<HostPort> owner = mOwner.get();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
@@ -33,12 +33,7 @@
     public void handle(HttpCall call) {
         String path = call.path();
         if (path.equals(PeerClient.CONFIG)) {
-            ByteString text = mConfig.text();
-            if (text.isEmpty()) {
-                text(call, PeerClient.NOT_FOUND, "no configuration");
-            } else {
-                call.answer(PeerClient.OK, "application/json", Map.of(), text.toByteArray());
-            }
+            config(call);
         } else if (path.startsWith(PeerClient.PENDING)) {
             QueueName queue = new QueueName(path.substring(PeerClient.PENDING.length()));
             mOwner.pending(queue).thenAccept(count -> answer(call, count));
@@ -49,6 +44,25 @@
         }
     }
 
+    private void config(HttpCall call) {
+        long after;
+        try {
+            after = Long.parseLong(call.parameter(PeerClient.AFTER));
+        } catch (NumberFormatException e) {
+            text(call, BAD_REQUEST, "\"" + PeerClient.AFTER + "\" is not a version");
+            return;
+        }
+        Optional<ByteString> packed = mConfig.packedIfNewer(after);
+        if (packed.isPresent()) {
+            byte[] body = packed.get().toByteArray();
+            call.answer(PeerClient.OK, "application/gzip", Map.of(), body);
+        } else if (mConfig.current().isPresent()) {
+            call.answer(PeerClient.NO_CONTENT, "text/plain", Map.of(), new byte[0]);
+        } else {
+            text(call, PeerClient.NOT_FOUND, "no configuration");
+        }
+    }
+
     private void job(HttpCall call, String name) {
         JobId id;
         try {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/port/MetadataStore.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/port/MetadataStore.java
@@ -48,8 +48,13 @@
     /** Lists keys with a prefix, starting behind a key. */
     CompletableFuture<Page> list(String prefix, String after);
 
-    /** Waits for changes of keys with a prefix behind a revision. */
-    CompletableFuture<Changes> watch(String prefix, long after, long waitMs);
+    /**
+     * Waits for changes of keys with a prefix behind a revision.
+     *
+     * @param waitMs how long the store waits for a change; 0 to be answered at once
+     * @param slackMs how long the answer may take beyond that
+     */
+    CompletableFuture<Changes> watch(String prefix, long after, long waitMs, long slackMs);
 
     /** Writes under conditions. */
     CompletableFuture<CommitResult> commit(Commit commit);
--- /dev/null
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigKeeperTest.java
@@ -0,0 +1,207 @@
+package org.lycheeroad.scheduler.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lycheeroad.scheduler.Strand;
+import org.lycheeroad.scheduler.log.Events;
+import org.lycheeroad.scheduler.peer.PeerClient;
+import org.lycheeroad.scheduler.port.Catalog;
+import org.lycheeroad.scheduler.port.Clock;
+import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.state.id.EntryId;
+import org.lycheeroad.state.time.HybridClock;
+import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.ClusterConfig;
+import org.lycheeroad.state.work.WorkerEntry;
+import org.lycheeroad.transport.events.EventLog;
+
+/**
+ * Drawn day fresh-f951 of fcvf-grown: each refusal read a configuration of 1,400 queues anew, and
+ * the VMs far from the store filled the link between the regions.
+ */
+class ConfigKeeperTest {
+    private static final String KEY = "config";
+
+    private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
+    private final Strand mStrand = new Strand("test", mTimers);
+    private final FakeStore mStore = new FakeStore();
+    private final AtomicLong mNow = new AtomicLong(1_000_000);
+    private ConfigKeeper mKeeper;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        HostPort none = new HostPort("127.0.0.1", 1);
+        mKeeper =
+                new ConfigKeeper(
+                        mStore,
+                        mStrand,
+                        new NumberCatalog(),
+                        new PeerClient(null, none, Optional::empty, List.of()),
+                        new TestClock(),
+                        new Events(new EventLog(new EntryId("vm"), new HybridClock(), 16)));
+        mStrand.start();
+        mKeeper.start();
+        while (mStore.mLongWatches.get() == 0) {
+            Thread.sleep(1);
+        }
+        mNow.addAndGet(10_000);
+    }
+
+    @AfterEach
+    void stop() {
+        mStrand.stop();
+        mTimers.shutdownNow();
+    }
+
+    /** The whole configuration need not be read to learn that it has not changed. */
+    @Test
+    void unchangedConfigurationIsConfirmedWithoutReadingIt() throws Exception {
+        CompletableFuture<Optional<ClusterConfig>> confirmed = mKeeper.confirm();
+        mStore.answerQuestion(List.of());
+        assertThat(version(confirmed)).isEqualTo(1);
+        assertThat(mStore.mReads).hasValue(0);
+    }
+
+    /** A refusal on the ground of a replaced configuration would be wrong. */
+    @Test
+    void changedConfigurationIsInForceBeforeTheConfirmation() throws Exception {
+        CompletableFuture<Optional<ClusterConfig>> confirmed = mKeeper.confirm();
+        mStore.answerQuestion(List.of(FakeStore.item(2)));
+        assertThat(version(confirmed)).isEqualTo(2);
+    }
+
+    /** Many callers with an unknown key must not each ask the store. */
+    @Test
+    void refusalsThatComeTogetherShareAQuestion() throws Exception {
+        List<CompletableFuture<Optional<ClusterConfig>>> confirmed = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            confirmed.add(mKeeper.confirm());
+        }
+        mStore.answerQuestion(List.of());
+        assertThat(version(confirmed.get(0))).isEqualTo(1);
+        // Those that came later may rest only on an answer that was asked for after them.
+        mNow.addAndGet(10_000);
+        mStore.answerQuestion(List.of(FakeStore.item(3)));
+        for (CompletableFuture<Optional<ClusterConfig>> later : confirmed.subList(1, 20)) {
+            assertThat(version(later)).isEqualTo(3);
+        }
+    }
+
+    private static long version(CompletableFuture<Optional<ClusterConfig>> config)
+            throws Exception {
+        return config.get(5, TimeUnit.SECONDS).orElseThrow().version();
+    }
+
+    private final class TestClock implements Clock {
+        @Override
+        public long steadyMs() {
+            return mNow.get();
+        }
+
+        @Override
+        public long wallMs() {
+            return mNow.get();
+        }
+    }
+
+    /** Reads configurations that consist of their version. */
+    private static final class NumberCatalog implements Catalog {
+        @Override
+        public String configKey() {
+            return KEY;
+        }
+
+        @Override
+        public String workerPrefix() {
+            return "workers/";
+        }
+
+        @Override
+        public ClusterConfig readConfig(ByteString value) {
+            return new ClusterConfig(Long.parseLong(value.toStringUtf8()), List.of(), List.of());
+        }
+
+        @Override
+        public WorkerEntry readWorker(String key, ByteString value) {
+            throw new UnsupportedOperationException("no workers in this test");
+        }
+    }
+
+    /** A store whose answers to questions without a wait are given by the test. */
+    private static final class FakeStore implements MetadataStore {
+        private final AtomicInteger mReads = new AtomicInteger();
+        private final AtomicInteger mLongWatches = new AtomicInteger();
+        private final List<CompletableFuture<Changes>> mQuestions = new ArrayList<>();
+
+        static Item item(long version) {
+            return new Item(KEY, ByteString.copyFromUtf8(Long.toString(version)), version, 0);
+        }
+
+        /** Waits for a question and answers it. */
+        synchronized void answerQuestion(List<Item> items) throws InterruptedException {
+            while (mQuestions.isEmpty()) {
+                wait(10);
+            }
+            List<Change> changes = items.stream().map(i -> new Change(KEY, i)).toList();
+            mQuestions.remove(0).complete(new Changes(changes, 10));
+        }
+
+        @Override
+        public CompletableFuture<Page> list(String prefix, String after) {
+            return CompletableFuture.completedFuture(new Page(List.of(item(1)), false, 5));
+        }
+
+        @Override
+        public synchronized CompletableFuture<Changes> watch(
+                String prefix, long after, long waitMs, long slackMs) {
+            CompletableFuture<Changes> answer = new CompletableFuture<>();
+            if (waitMs > 0) {
+                mLongWatches.incrementAndGet();
+            } else {
+                assertThat(after).isEqualTo(5);
+                mQuestions.add(answer);
+                notifyAll();
+            }
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<Optional<Item>> read(String key) {
+            mReads.incrementAndGet();
+            return CompletableFuture.completedFuture(Optional.of(item(1)));
+        }
+
+        @Override
+        public CompletableFuture<CommitResult> commit(Commit commit) {
+            throw new UnsupportedOperationException("no commits in this test");
+        }
+
+        @Override
+        public CompletableFuture<Long> grantLease(long ttlMs) {
+            throw new UnsupportedOperationException("no leases in this test");
+        }
+
+        @Override
+        public CompletableFuture<Boolean> renewLease(long lease) {
+            throw new UnsupportedOperationException("no leases in this test");
+        }
+
+        @Override
+        public CompletableFuture<Boolean> endLease(long lease) {
+            throw new UnsupportedOperationException("no leases in this test");
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/GzipTest.java
@@ -0,0 +1,25 @@
+package org.lycheeroad.scheduler.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import org.junit.jupiter.api.Test;
+
+class GzipTest {
+    /** A configuration of many queues must pass a narrow link within seconds. */
+    @Test
+    void packedTextIsSmallAndComesBackWhole() throws IOException {
+        ByteString plain = ByteString.copyFromUtf8("{\"name\":\"queue\"},".repeat(10_000));
+        ByteString packed = Gzip.pack(plain);
+        assertThat(packed.size()).isLessThan(plain.size() / 20);
+        assertThat(Gzip.unpack(packed.toByteArray())).isEqualTo(plain);
+    }
+
+    /** Damaged bytes must not become a configuration. */
+    @Test
+    void damagedBytesAreRefused() {
+        assertThatThrownBy(() -> Gzip.unpack(new byte[] {1, 2, 3})).isInstanceOf(IOException.class);
+    }
+}
--- a/transport/src/main/java/org/lycheeroad/transport/http/HttpAnswer.java
+++ b/transport/src/main/java/org/lycheeroad/transport/http/HttpAnswer.java
@@ -21,6 +21,11 @@
         return mStatus;
     }
 
+    /** Returns the body. */
+    public byte[] body() {
+        return mBody.clone();
+    }
+
     /** Returns the body as UTF-8 text. */
     public String text() {
         return new String(mBody, StandardCharsets.UTF_8);
