Keep runs that a new incarnation of a worker has taken

Cause: an executor may start again under its id. A start may reach the new incarnation before its entry or list is known. The scheduler then took all runs of the worker as over and started them elsewhere while the new incarnation ran them; and a look that named the ends observed of the old incarnation let the new one forget ends that were never listed.

Change: only the worker's own list tells what a new incarnation holds; runs in it go on under it, starts without an answer are barred there, the others are over. Ends are named as observed only within 1.5 s of the last answer. A new owner looks for recorded runs whatever incarnation the record names.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -110,8 +110,11 @@
         }
         worker.entry = entry;
         worker.listed = true;
-        if (entry.bornMs() > worker.bornMs) {
-            mTracker.onBorn(worker, entry.bornMs(), now);
+        if (worker.bornMs == 0) {
+            worker.bornMs = entry.bornMs();
+        } else if (entry.bornMs() > worker.bornMs) {
+            // A start may have reached the new incarnation already; its own list tells.
+            worker.seen = false;
         }
     }
 
@@ -358,9 +361,6 @@
             return;
         }
         Worker worker = mCluster.worker(row.worker());
-        if (worker.entry != null && row.workerBornMs() < worker.bornMs) {
-            return;
-        }
         worker.bornMs = Math.max(worker.bornMs, row.workerBornMs());
         Run run = new Run(new RunRef(task.ref, row.attempt()), task, worker, Phase.UNCONFIRMED);
         worker.add(run);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -23,8 +23,11 @@
     public final RunRef ref;
     public final Task task;
     public final Worker worker;
-    public final long bornMs;
     public final Resources room;
+
+    /** The incarnation of the worker. */
+    public long bornMs;
+
     public Phase phase;
     public String ticket = "";
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -62,7 +62,7 @@
             return;
         }
         if (report.bornMs() > worker.bornMs) {
-            onBorn(worker, report.bornMs(), now);
+            onBorn(worker, report, now);
         }
         worker.seen = true;
         worker.silent = false;
@@ -86,15 +86,30 @@
         mThrottle.onReport(worker, now);
     }
 
-    /** A new incarnation holds nothing of the one before. */
-    void onBorn(Worker worker, long bornMs, long now) {
-        worker.bornMs = bornMs;
+    /** A new incarnation holds nothing of the one before, but may have been sent starts already. */
+    private void onBorn(Worker worker, WorkerRuns report, long now) {
+        worker.bornMs = report.bornMs();
         worker.newestEnd = 0;
         worker.observed = 0;
         worker.listedEnds.clear();
         worker.strangers.clear();
-        worker.seen = false;
-        onLapsed(worker, now);
+        Set<RunRef> listed = new HashSet<>();
+        report.running().forEach(running -> listed.add(running.run()));
+        report.ended().forEach(end -> listed.add(end.run()));
+        for (Run run : new ArrayList<>(worker.runs.values())) {
+            if (listed.contains(run.ref)) {
+                run.bornMs = report.bornMs();
+                mCluster.touch(run.task.step.job);
+            } else if (run.phase == Phase.STARTING) {
+                mCluster.stop(run, StopReason.REFUSED, now);
+                stopOthers(run, now);
+            } else if (run.phase == Phase.STOPPING && run.begunAt == Long.MAX_VALUE) {
+                // What bars a late start has to be confirmed anew.
+                run.confirmedAt = Long.MAX_VALUE;
+            } else {
+                onLost(run, now);
+            }
+        }
     }
 
     /** Treats all runs of a worker as over. */
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -152,6 +152,29 @@
         scheduler.onRuns(new WorkerId(worker), new WorkerRuns(now, BORN, running, ended), now, now);
     }
 
+    /** The list of another incarnation. */
+    void report(String worker, long bornMs, List<Running> running, List<Ended> ended) {
+        scheduler.onRuns(
+                new WorkerId(worker), new WorkerRuns(now, bornMs, running, ended), now, now);
+    }
+
+    /** The entry of another incarnation. */
+    void reborn(String worker, String rack, long bornMs) {
+        WorkerEntry old = entry(worker, rack, false);
+        WorkerEntry entry =
+                new WorkerEntry(
+                        old.id(),
+                        bornMs,
+                        old.address(),
+                        old.service(),
+                        false,
+                        0,
+                        old.capacity(),
+                        old.labels(),
+                        old.rack());
+        scheduler.onWorker(entry, now);
+    }
+
     static Running running(JobAction order, int percent) {
         return new Running(order.run(), "", percent, 0);
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -33,6 +33,9 @@
 
     private static final long RETRY_MS = 250;
 
+    /** Looks at a busy worker follow each other within a second; restarts take longer. */
+    private static final long RECENT_ANSWER_MS = 1_500;
+
     /** Looks at a silent worker without runs are as rare as its own entries. */
     private static final long IDLE_RETRY_MS = 1_500;
 
@@ -62,6 +65,7 @@
     private boolean mStopped;
     private boolean mLooking;
     private boolean mSilent;
+    private long mAnsweredAt = Long.MIN_VALUE / 2;
     private long mNextLookAt;
     private boolean mWakeSet;
 
@@ -229,13 +233,21 @@
         mMetrics.look();
         mStrand.whenDone(
                 mGateway.look(
-                        target(),
-                        mScheduler.observed(mEntry.id()),
-                        extend ? leaseUntil(now) : 0,
-                        extend ? waitMs : 0),
+                        target(), observed(now), extend ? leaseUntil(now) : 0, extend ? waitMs : 0),
                 (reply, e) -> onLook(reply, now, bornMs));
     }
 
+    /**
+     * Returns up to which number the worker may forget its ends.
+     *
+     * <p>A worker that has not answered lately may have been replaced by an incarnation that counts
+     * its ends anew, and must not forget any before they are listed.
+     */
+    private long observed(long now) {
+        boolean recent = !mSilent && now - mAnsweredAt < RECENT_ANSWER_MS;
+        return recent ? mScheduler.observed(mEntry.id()) : 0;
+    }
+
     private void onLook(LookReply reply, long askedAt, long bornMs) {
         mLooking = false;
         if (mStopped) {
@@ -248,6 +260,7 @@
                 mEvents.record(EventCode.WORKER_HEARD, "", "worker=" + mEntry.id());
             }
             mSilent = false;
+            mAnsweredAt = now;
             if (bornMs == mEntry.bornMs()) {
                 mClockOffset = reply.runs().clockMs() - now;
                 mClockKnown = true;
