--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -11,6 +11,7 @@
     VM_LIST_UNAVAILABLE(106, "VM list not available"),
     VM_LIST_AVAILABLE(107, "VM list available again"),
     DRAIN_INCOMPLETE(108, "work was in flight at the end of the shutdown time"),
+    LINES_LOST(109, "log lines lost because the reader was too slow"),
 
     STORE_ANSWERS(200, "store answers"),
     STORE_SILENT(201, "store does not answer"),
--- a/transport/src/main/java/org/lycheeroad/transport/events/EventLog.java
+++ b/transport/src/main/java/org/lycheeroad/transport/events/EventLog.java
@@ -18,8 +18,9 @@
 /**
  * Keeps the newest events of this entry in memory and writes all of them as JSON lines.
  *
- * <p>Lines are written on a thread of their own. When it falls behind, lines are counted as lost;
- * the events stay readable in memory. Methods may be called from any thread and do not block.
+ * <p>Lines are written on a thread of their own. When it falls behind, lines are counted as lost,
+ * and the count is written once it catches up; the events stay readable in memory. Methods may be
+ * called from any thread and do not block.
  */
 public final class EventLog {
     private static final Logger LINES = LoggerFactory.getLogger("lycheeroad.events");
@@ -104,7 +105,9 @@
         return mLostLines.sum();
     }
 
-    private static final class LineWriter implements DutyHandler<TimelineEvent> {
+    private final class LineWriter implements DutyHandler<TimelineEvent> {
+        private long mReported;
+
         @Override
         public void handle(TimelineEvent event) {
             if (LINES.isInfoEnabled()) {
@@ -113,6 +116,12 @@
         }
 
         @Override
-        public void tick() {}
+        public void tick() {
+            long lost = lostLines();
+            if (lost > mReported) {
+                record(EventCode.LINES_LOST, "lines=" + (lost - mReported) + " all=" + lost);
+                mReported = lost;
+            }
+        }
     }
 }
