--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Reclaim.java
@@ -143,13 +143,19 @@
         Map<Worker, Integer> places = new LinkedHashMap<>();
         Map<Run, Boolean> victims = new LinkedHashMap<>();
         Map<Worker, Resources> room = new HashMap<>();
+        Map<Worker, List<Run>> yielding = new HashMap<>();
         group.forEach(w -> room.put(w, w.freeFor(step).plus(stopping(w))));
         double cost = 0;
         for (int i = 0; i < tasks; i++) {
             Choice best = null;
             for (Worker worker : group) {
                 int placed = places.getOrDefault(worker, 0);
-                Choice choice = choose(step, worker, room.get(worker), placed, victims, yield, now);
+                if (!yielding.containsKey(worker) && !fitsNow(step, room.get(worker))) {
+                    yielding.put(worker, byCost(step, worker, yield, now));
+                }
+                List<Run> runs = yielding.getOrDefault(worker, List.of());
+                Choice choice =
+                        choose(step, worker, room.get(worker), placed, runs, victims, yield, now);
                 if (choice != null && (best == null || choice.cost < best.cost)) {
                     best = choice;
                 }
@@ -169,6 +175,10 @@
         return new Plan(places, Set.copyOf(victims.keySet()), cost);
     }
 
+    private static boolean fitsNow(StepRun step, Resources room) {
+        return step.plan.reserved().fitsIn(room);
+    }
+
     /** What one more task costs on a worker. */
     private record Choice(Worker worker, List<Run> victims, double cost) {}
 
@@ -177,6 +187,7 @@
             Worker worker,
             Resources room,
             int placed,
+            List<Run> runs,
             Map<Run, Boolean> victims,
             Yield yield,
             long now) {
@@ -189,7 +200,7 @@
         List<Run> chosen = new ArrayList<>();
         double cost = 0;
         if (!need.fitsIn(left)) {
-            for (Run run : byCost(step, worker, yield, now)) {
+            for (Run run : runs) {
                 if (victims.containsKey(run)) {
                     continue;
                 }
