Tell workers again which ends are observed after a silence

If the look that named it was lost, nothing asked for another look, and the worker kept the end. Found by reading. Ruled out: naming it in the first look; a new incarnation could forget ends that it has not listed. Change: a worker that lists ends is looked at again until it lists none. Stops of starts without an answer say NO_ANSWER, not STALLED or REFUSED. Test: WorkerSessionTest; its second case fails without the change.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -101,7 +101,7 @@
                 run.bornMs = report.bornMs();
                 mCluster.touch(run.task.step.job);
             } else if (run.phase == Phase.STARTING) {
-                mCluster.stop(run, StopReason.REFUSED, now);
+                mCluster.stop(run, StopReason.NO_ANSWER, now);
                 stopOthers(run, now);
             } else if (run.phase == Phase.STOPPING && run.begunAt == Long.MAX_VALUE) {
                 // What bars a late start has to be confirmed anew.
@@ -138,7 +138,7 @@
                 if (now - run.sentAt < REPEAT_START_MS) {
                     mCluster.sendStart(run, now);
                 } else {
-                    mCluster.stop(run, StopReason.STALLED, now);
+                    mCluster.stop(run, StopReason.NO_ANSWER, now);
                     stopOthers(run, now);
                 }
             }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopReason.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopReason.java
@@ -6,6 +6,8 @@
     RECLAIMED,
     /** It makes no progress. */
     STALLED,
+    /** Its start was not answered. */
+    NO_ANSWER,
     /** Its start was refused, and an earlier copy of the start may still arrive. */
     REFUSED,
     /** Another member of its gang does not run. */
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -66,6 +66,10 @@
     private boolean mLooking;
     private boolean mSilent;
     private long mAnsweredAt = Long.MIN_VALUE / 2;
+
+    /** Whether the worker still lists ends, and so has to hear up to which it may forget them. */
+    private boolean mRemembers;
+
     private long mNextLookAt;
     private boolean mWakeSet;
 
@@ -125,7 +129,7 @@
     /** Starts a look when one is due; called after each change. */
     void pump() {
         long now = mClock.steadyMs();
-        if (mStopped || mLooking || !mScheduler.needsLook(mEntry.id())) {
+        if (mStopped || mLooking || !(mRemembers || mScheduler.needsLook(mEntry.id()))) {
             return;
         }
         if (now < mNextLookAt) {
@@ -261,6 +265,7 @@
             }
             mSilent = false;
             mAnsweredAt = now;
+            mRemembers = !reply.runs().ended().isEmpty();
             if (bornMs == mEntry.bornMs()) {
                 mClockOffset = reply.runs().clockMs() - now;
                 mClockKnown = true;
--- /dev/null
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -0,0 +1,205 @@
+package org.lycheeroad.scheduler.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lycheeroad.coordination.jobs.JobScheduler;
+import org.lycheeroad.coordination.jobs.OrderAnswer;
+import org.lycheeroad.coordination.jobs.SchedulerSettings;
+import org.lycheeroad.scheduler.NodeSettings;
+import org.lycheeroad.scheduler.Strand;
+import org.lycheeroad.scheduler.log.Events;
+import org.lycheeroad.scheduler.log.NodeMetrics;
+import org.lycheeroad.scheduler.port.WorkerGateway;
+import org.lycheeroad.state.id.EntryId;
+import org.lycheeroad.state.id.FailureDomainId;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.id.RackId;
+import org.lycheeroad.state.id.RegionId;
+import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.time.HybridClock;
+import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.Resources;
+import org.lycheeroad.state.work.RunEnd;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.ServiceName;
+import org.lycheeroad.state.work.TaskRef;
+import org.lycheeroad.state.work.WorkerEntry;
+import org.lycheeroad.state.work.WorkerRuns;
+import org.lycheeroad.state.work.WorkerRuns.Ended;
+import org.lycheeroad.transport.events.EventLog;
+
+class WorkerSessionTest {
+    private static final HostPort ADDRESS = new HostPort("127.0.0.1", 1);
+    private static final long BORN_MS = 1_000;
+    private static final RunRef RUN = new RunRef(new TaskRef(new JobId("j1"), 0, 0, 0), 1);
+    private static final List<Ended> ONE_END = List.of(new Ended(1, RUN, RunEnd.DONE, ""));
+
+    /** How far the clock moves between two checks for a look. */
+    private static final long STEP_MS = 50;
+
+    private static final int MOST_STEPS = 500;
+
+    /** Several times what the session waits between looks. */
+    private static final int QUIET_STEPS = 80;
+
+    private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
+    private final Strand mStrand = new Strand("test", mTimers);
+    private final ScriptedGateway mGateway = new ScriptedGateway();
+    private final ManualClock mClock = new ManualClock();
+    private WorkerSession mSession;
+
+    @BeforeEach
+    void start() {
+        JobScheduler scheduler = new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000));
+        Term term = new Term(1, 10, 1, mClock);
+        term.extend(mClock.steadyMs() + 100_000);
+        WorkerEntry entry =
+                new WorkerEntry(
+                        new WorkerId("w1"),
+                        BORN_MS,
+                        ADDRESS,
+                        new ServiceName("service"),
+                        false,
+                        0,
+                        new Resources(1_000, 1_000, 1),
+                        Set.of(),
+                        new RackId("r1"));
+        scheduler.onWorker(entry, mClock.steadyMs());
+        mSession =
+                new WorkerSession(
+                        entry,
+                        mGateway,
+                        mStrand,
+                        scheduler,
+                        term,
+                        settings(),
+                        mClock,
+                        new Events(new EventLog(new EntryId("vm"), new HybridClock(), 16)),
+                        new NodeMetrics(),
+                        () -> {});
+        mStrand.start();
+        mStrand.execute(mSession::pump);
+    }
+
+    @AfterEach
+    void stop() {
+        mStrand.stop();
+        mTimers.shutdownNow();
+    }
+
+    /** A new incarnation counts its ends anew and would forget some that it has not listed. */
+    @Test
+    void endsAreNotNamedAsObservedAfterASilence() throws Exception {
+        assertThat(mGateway.next(ONE_END).observed()).isZero();
+        Look noting = mGateway.nextWithoutAnswer();
+        assertThat(noting.observed()).isEqualTo(1);
+        assertThat(mGateway.next(ONE_END).observed()).isZero();
+    }
+
+    /** An end that a worker still lists after a silence is not noted unless it is told again. */
+    @Test
+    void endsAreNamedAsObservedOnceTheWorkerAnswersAgain() throws Exception {
+        mGateway.next(ONE_END);
+        mGateway.nextWithoutAnswer();
+        mGateway.next(ONE_END);
+        assertThat(mGateway.next(List.of()).observed()).isEqualTo(1);
+        assertThat(mGateway.isQuiet()).isTrue();
+    }
+
+    private static NodeSettings settings() {
+        return new NodeSettings(
+                new EntryId("vm"),
+                new RegionId("region"),
+                new FailureDomainId("domain"),
+                ADDRESS,
+                List.of(),
+                6_000,
+                2_700,
+                3,
+                120_000,
+                6_000,
+                1_000);
+    }
+
+    /** A look that waits for its answer. */
+    private record Look(long observed, CompletableFuture<WorkerGateway.LookReply> answer) {}
+
+    /** A worker whose answers the test gives. */
+    private final class ScriptedGateway implements WorkerGateway {
+        private final LinkedBlockingQueue<Look> mLooks = new LinkedBlockingQueue<>();
+
+        /** Waits for a look and answers it with some ends. */
+        Look next(List<Ended> ends) throws InterruptedException {
+            return answer(
+                    new LookReply(
+                            OrderAnswer.ACCEPTED, new WorkerRuns(1, BORN_MS, List.of(), ends)));
+        }
+
+        /** Waits for a look that gets no answer. */
+        Look nextWithoutAnswer() throws InterruptedException {
+            return answer(new LookReply(OrderAnswer.UNKNOWN, null));
+        }
+
+        boolean isQuiet() throws InterruptedException {
+            return poll(QUIET_STEPS) == null;
+        }
+
+        /** Lets time pass until a look comes; the session's timers run in real time. */
+        private Look poll(int steps) throws InterruptedException {
+            Look look = null;
+            for (int i = 0; i < steps && look == null; i++) {
+                look = mLooks.poll(STEP_MS / 5, TimeUnit.MILLISECONDS);
+                if (look == null) {
+                    mClock.pass(STEP_MS);
+                }
+            }
+            return look;
+        }
+
+        private Look answer(LookReply reply) throws InterruptedException {
+            Look look = poll(MOST_STEPS);
+            assertThat(look).as("look of the session").isNotNull();
+            look.answer().complete(reply);
+            return look;
+        }
+
+        @Override
+        public CompletableFuture<LookReply> look(
+                Target to, long observed, long leaseUntilMs, long waitMs) {
+            Look look = new Look(observed, new CompletableFuture<>());
+            mLooks.add(look);
+            return look.answer();
+        }
+
+        @Override
+        public CompletableFuture<OrderAnswer> start(
+                Target to,
+                RunRef run,
+                String spec,
+                String checkpoint,
+                String ticket,
+                long leaseUntilMs) {
+            throw new UnsupportedOperationException("no starts in this test");
+        }
+
+        @Override
+        public CompletableFuture<OrderAnswer> stop(Target to, RunRef run) {
+            throw new UnsupportedOperationException("no stops in this test");
+        }
+
+        @Override
+        public CompletableFuture<OrderAnswer> throttle(Target to, RunRef run, int percent) {
+            throw new UnsupportedOperationException("no throttling in this test");
+        }
+    }
+}
