Give the write of a table save its own time limit

Ruled out: a longer limit for all failures, as a caller would then wait 5 s for a store that refuses connections.

Change: the write counts from its own start, and a read whose answers are lost is repeated for 5 s, as a write is. Test: writeIsRetriedAlthoughTheReadTookLong, which fails before the change.

--- a/entry/src/main/java/org/lycheeroad/entry/control/TableService.java
+++ b/entry/src/main/java/org/lycheeroad/entry/control/TableService.java
@@ -55,10 +55,11 @@
      */
     private static final int MAX_CSV_CHARS = 700_000;
 
+    /** How long the read, and then the write, of a save is retried while answers are lost. */
     private static final long RESOLVE_TIMEOUT_MILLIS = 5_000;
 
     /**
-     * How long a save is retried while the store is unavailable.
+     * How long each of them is retried while the store is unavailable.
      *
      * <p>The circuit breaker may reject calls for a while after the store has recovered.
      */
@@ -160,7 +161,7 @@
         }
         SaveRequest request =
                 new SaveRequest(csv, rows, expectedVersion, result, ControlLoop.nowMillis());
-        readStoredTable(request, newBackOff());
+        readStoredTable(request, newBackOff(), false);
     }
 
     /** A requested save, before the stored table that it replaces is known. */
@@ -172,14 +173,20 @@
             long startedAtMillis) {}
 
     /** Reads the stored table, with retries because the store may be recovering from an outage. */
-    private void readStoredTable(SaveRequest request, ExponentialBackoff backOff) {
+    private void readStoredTable(
+            SaveRequest request, ExponentialBackoff backOff, boolean answerLostBefore) {
         mLoop.whenComplete(
                 mStore.get(Mechanism.TABLE, StoreKeys.TABLE_KEY),
                 (storedValue, failure) -> {
                     if (failure == null) {
                         replaceStoredTable(request, storedValue);
-                    } else if (ControlLoop.nowMillis() - request.startedAtMillis()
-                            > UNAVAILABLE_TIMEOUT_MILLIS) {
+                        return;
+                    }
+                    boolean answerLost =
+                            answerLostBefore
+                                    || StoreException.kindOf(failure)
+                                            == StoreException.Kind.UNSETTLED;
+                    if (isTimeOver(request.startedAtMillis(), answerLost)) {
                         completeSave(
                                 request.result(),
                                 SaveTableResult.Status.UNAVAILABLE,
@@ -187,11 +194,18 @@
                                 List.of());
                     } else {
                         mLoop.schedule(
-                                backOff.nextDelayMs(), () -> readStoredTable(request, backOff));
+                                backOff.nextDelayMs(),
+                                () -> readStoredTable(request, backOff, answerLost));
                     }
                 });
     }
 
+    /** Returns whether a call that failed is not to be repeated. */
+    private static boolean isTimeOver(long startedAtMillis, boolean answerLost) {
+        return ControlLoop.nowMillis() - startedAtMillis
+                > (answerLost ? RESOLVE_TIMEOUT_MILLIS : UNAVAILABLE_TIMEOUT_MILLIS);
+    }
+
     private void onFetched(TableReply reply, Throwable failure) {
         if (failure == null && !reply.getCsv().isEmpty()) {
             handle(new TableEvent.VersionReceived(reply.getVersion(), reply.getCsv()));
@@ -225,12 +239,19 @@
         StoredTable newTable =
                 stored.successor(newestVersion + 1, request.csv(), mAttemptIds.nextId());
         long baseRevision = storedValue.map(KeyValue::modRevision).orElse(0L);
-        TableWrite write = new TableWrite(request, newTable, newestVersion, baseRevision);
+        // The time that the read took must not leave the write without any.
+        long startedAtMillis = ControlLoop.nowMillis();
+        TableWrite write =
+                new TableWrite(request, newTable, newestVersion, baseRevision, startedAtMillis);
         writeTable(write, newBackOff(), false);
     }
 
     private record TableWrite(
-            SaveRequest request, StoredTable newTable, long baseVersion, long baseRevision) {
+            SaveRequest request,
+            StoredTable newTable,
+            long baseVersion,
+            long baseRevision,
+            long startedAtMillis) {
         CompletableFuture<SaveTableResult> result() {
             return request.result();
         }
@@ -270,8 +291,7 @@
             boolean maybeWrittenBefore,
             StoreException.Kind kind) {
         boolean maybeWritten = maybeWrittenBefore || kind == StoreException.Kind.UNSETTLED;
-        long timeoutMillis = maybeWritten ? RESOLVE_TIMEOUT_MILLIS : UNAVAILABLE_TIMEOUT_MILLIS;
-        if (ControlLoop.nowMillis() - write.request().startedAtMillis() > timeoutMillis) {
+        if (isTimeOver(write.startedAtMillis(), maybeWritten)) {
             completeSave(
                     write.result(),
                     maybeWritten
--- a/entry/src/test/java/org/lycheeroad/entry/control/FakeStore.java
+++ b/entry/src/test/java/org/lycheeroad/entry/control/FakeStore.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.lycheeroad.protocol.store.KeyValue;
@@ -161,6 +162,7 @@
         private final List<Watch> mOpenWatches = new CopyOnWriteArrayList<>();
         private volatile boolean mDisconnected;
         private volatile boolean mLosesWriteResponses;
+        private final AtomicInteger mTableWritesToReject = new AtomicInteger();
 
         void setDisconnected(boolean disconnected) {
             mDisconnected = disconnected;
@@ -171,6 +173,11 @@
             }
         }
 
+        /** Makes the store unavailable for the next writes of the table. */
+        void rejectTableWrites(int count) {
+            mTableWritesToReject.set(count);
+        }
+
         /** Sets whether writes take effect without a response. */
         void setLosesWriteResponses(boolean losesResponses) {
             mLosesWriteResponses = losesResponses;
@@ -193,7 +200,9 @@
             CompletableFuture<TxnResponse> result = new CompletableFuture<>();
             mExecutor.execute(
                     () -> {
-                        if (mDisconnected) {
+                        if (mDisconnected
+                                || (mechanism == Mechanism.TABLE
+                                        && mTableWritesToReject.getAndDecrement() > 0)) {
                             result.completeExceptionally(unavailable());
                             return;
                         }
--- a/entry/src/test/java/org/lycheeroad/entry/control/StoreControlPlaneTest.java
+++ b/entry/src/test/java/org/lycheeroad/entry/control/StoreControlPlaneTest.java
@@ -254,6 +254,19 @@
                     .isEqualTo(SaveTableResult.Status.ACCEPTED);
         }
 
+        /**
+         * Guards against rejecting a save although the store serves, because the read before the
+         * write took all of its time.
+         */
+        @Test
+        void writeIsRetriedAlthoughTheReadTookLong() throws Exception {
+            Entry entry = startEntries(1).get(0);
+            entry.mClient.rejectTableWrites(1);
+            mStore.stallFor(2_300);
+            assertThat(entry.saveTable(TABLE_CSV, 0).status())
+                    .isEqualTo(SaveTableResult.Status.ACCEPTED);
+        }
+
         /**
          * Guards against an entry that becomes ready without a table or with an old one at startup.
          */
