--- a/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.MetadataStore.KeyValue;
 import org.lycheeroad.scheduler.port.MetadataStore.Page;
@@ -14,7 +15,12 @@
 public final class PrefixWatch {
     /** Receives the results of a watch; all methods are called on the watch's executor. */
     public interface Listener {
-        /** Called with all existing keys; any other key does not exist or has been deleted. */
+        /**
+         * Called with all existing keys; any other key does not exist or has been deleted.
+         *
+         * <p>Implementations use {@link #forEach}, so that a key that they cannot handle does not
+         * hide the others.
+         */
         void onSnapshot(List<KeyValue> keyValues);
 
         /** Called when a key was written. */
@@ -75,6 +81,22 @@
         mStopped = true;
     }
 
+    /** Passes each key to an action; a failure for one key is logged and the others follow. */
+    public static void forEach(List<KeyValue> keyValues, Consumer<KeyValue> action) {
+        for (KeyValue keyValue : keyValues) {
+            callListener(keyValue.key(), () -> action.accept(keyValue));
+        }
+    }
+
+    /** Calls the listener; a failure must not end the watch, which nothing would start again. */
+    private static void callListener(String subject, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            LOG.error("Cannot handle {} of a watch", subject, e);
+        }
+    }
+
     private void list(String afterKey, List<KeyValue> listed, long lowestRevisionSoFar) {
         mExecutor.whenComplete(
                 mStore.list(mPrefix, afterKey),
@@ -98,8 +120,8 @@
             list(page.keyValues().get(page.keyValues().size() - 1).key(), listed, lowestRevision);
             return;
         }
-        mListener.onSnapshot(listed);
-        mListener.onUpToDate(lowestRevision);
+        callListener("the listing", () -> mListener.onSnapshot(listed));
+        callListener("the revision", () -> mListener.onUpToDate(lowestRevision));
         watch(lowestRevision);
     }
 
@@ -129,13 +151,14 @@
             mBackoffDoublings = 0;
             for (MetadataStore.Change change : response.changes()) {
                 if (change.keyValue() == null) {
-                    mListener.onDelete(change.key());
+                    callListener(change.key(), () -> mListener.onDelete(change.key()));
                 } else {
-                    mListener.onPut(change.keyValue());
+                    callListener(change.key(), () -> mListener.onPut(change.keyValue()));
                 }
             }
-            mListener.onUpToDate(Math.max(afterRevision, response.revision()));
-            watch(Math.max(afterRevision, response.revision()));
+            long revision = Math.max(afterRevision, response.revision());
+            callListener("the revision", () -> mListener.onUpToDate(revision));
+            watch(revision);
             return;
         }
         if (StoreException.kindOf(failure) == StoreException.Kind.COMPACTED) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
@@ -269,7 +269,7 @@
     private final class ConfigWatchListener implements PrefixWatch.Listener {
         @Override
         public void onSnapshot(List<KeyValue> keyValues) {
-            keyValues.forEach(this::onPut);
+            PrefixWatch.forEach(keyValues, this::onPut);
         }
 
         @Override
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -13,6 +13,7 @@
     private final PrometheusMeterRegistry mRegistry =
             new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Counter mWorkerPolls = mRegistry.counter("lycheeroad_looks");
+    private final Counter mUnreadableRecords = mRegistry.counter("lycheeroad_unreadable_records");
     private final Timer mOrderLatency = timer("lycheeroad_order_latency");
     private final Timer mCallLatency = timer("lycheeroad_accept_latency");
 
@@ -21,6 +22,11 @@
         mWorkerPolls.increment();
     }
 
+    /** Counts a value in the store that cannot be parsed and is skipped. */
+    public void countUnreadableRecord() {
+        mUnreadableRecords.increment();
+    }
+
     /** Records the latency of a start order to a worker. */
     public void recordOrderLatency(long latencyMs) {
         mOrderLatency.record(latencyMs, TimeUnit.MILLISECONDS);
--- a/state/src/main/java/org/lycheeroad/state/work/Resources.java
+++ b/state/src/main/java/org/lycheeroad/state/work/Resources.java
@@ -13,23 +13,33 @@
 
     /** Returns the sum of the two quantities. */
     public Resources plus(Resources other) {
-        return new Resources(
-                cpuMillis + other.cpuMillis,
-                memoryMb + other.memoryMb,
-                accelerators + other.accelerators);
+        return ofLongs(
+                (long) cpuMillis + other.cpuMillis,
+                (long) memoryMb + other.memoryMb,
+                (long) accelerators + other.accelerators);
     }
 
     /** Returns the difference of the two quantities, which may be negative. */
     public Resources minus(Resources other) {
-        return new Resources(
-                cpuMillis - other.cpuMillis,
-                memoryMb - other.memoryMb,
-                accelerators - other.accelerators);
+        return ofLongs(
+                (long) cpuMillis - other.cpuMillis,
+                (long) memoryMb - other.memoryMb,
+                (long) accelerators - other.accelerators);
     }
 
     /** Returns the quantities multiplied by a factor. */
     public Resources times(int factor) {
-        return new Resources(cpuMillis * factor, memoryMb * factor, accelerators * factor);
+        return ofLongs(
+                (long) cpuMillis * factor, (long) memoryMb * factor, (long) accelerators * factor);
+    }
+
+    /** Limits quantities to 32 bits, so that a sum never changes its sign by an overflow. */
+    private static Resources ofLongs(long cpuMillis, long memoryMb, long accelerators) {
+        return new Resources(clamp(cpuMillis), clamp(memoryMb), clamp(accelerators));
+    }
+
+    private static int clamp(long quantity) {
+        return (int) Math.max(Integer.MIN_VALUE, Math.min(Integer.MAX_VALUE, quantity));
     }
 
     /** Returns whether no resource exceeds the available quantity. */
--- a/transport/src/main/java/org/lycheeroad/transport/duty/MessageLoop.java
+++ b/transport/src/main/java/org/lycheeroad/transport/duty/MessageLoop.java
@@ -117,7 +117,8 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
+                // A stack overflow is caused by one message; the stack is usable again here.
                 LOG.error("Message loop {}: handler failed", mName, e);
             }
         }
--- a/transport/src/test/java/org/lycheeroad/transport/duty/MessageLoopTest.java
+++ b/transport/src/test/java/org/lycheeroad/transport/duty/MessageLoopTest.java
@@ -13,6 +13,9 @@
 class MessageLoopTest {
     private static final long IDLE_TICK_INTERVAL_MS = 60_000;
 
+    /** A message whose handling overflows the stack. */
+    private static final String OVERFLOW = "overflow";
+
     private final BlockingQueue<String> mHandled = new LinkedBlockingQueue<>();
     private final AtomicInteger mMessageCount = new AtomicInteger();
     private final MessageLoop<String> mLoop =
@@ -24,6 +27,9 @@
                     new MessageLoopHandler<>() {
                         @Override
                         public void handle(String message) {
+                            if (message.equals(OVERFLOW)) {
+                                throw new StackOverflowError("test");
+                            }
                             mMessageCount.incrementAndGet();
                             mHandled.add(message);
                         }
@@ -58,6 +64,15 @@
         assertThat(System.nanoTime() - startNanos).isLessThan(TimeUnit.MILLISECONDS.toNanos(1_900));
     }
 
+    /** Guards against one message, such as a deeply nested one, that ends the loop's thread. */
+    @Test
+    void stackOverflowOfOneMessageDoesNotEndTheLoop() throws Exception {
+        mLoop.start();
+        mLoop.offer(OVERFLOW);
+        mLoop.offer("work");
+        assertThat(mHandled.poll(5, TimeUnit.SECONDS)).isEqualTo("work");
+    }
+
     @Test
     void messageRestoresTheOrdinaryTickRate() throws Exception {
         mLoop.start();
