Find slow and failing workers by their runs, and spare workers about to be replaced

Change: RunProgress measures the speed of each run; remaining times, and the durations of tasks of steps that have run, come from it. SlowWorkerDetector compares a run with its own earlier speed and with its step's runs on other workers; no new work goes to a slow worker, and SlowRunMover restarts its runs elsewhere only if the job then ends in a better class (in time, late, useless) and a place is free, at most twice a task. A run that fails at once quarantines its worker on a single failure, as long as under 15% are in quarantine; the next attempts of a failed step prefer workers with a recent success. Steps that would lose much work prefer workers of the newest software version for 30 s after the last new worker. Progress records of ended jobs keep only runs that may still exist. The costs of runs to release are computed once a plan.

WorkerEvacuatorTest.taskThatEndsBeforeTheWorkerLeavesIsNotStopped reported 2% each 100 ms for a task of 3 s, that is a task of 5 s that could not end in time; it now reports the progress of 3 s.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
@@ -56,7 +56,7 @@
     void dropExpiredReservations(long nowMs) {
         for (Worker worker : mState.workers.values()) {
             worker.reservations.removeIf(
-                    r -> !r.byPreemption || nowMs > r.expiresAtMs || !r.step.hasStartableTasks());
+                    r -> !r.byPreemption || nowMs > r.expiresAtMs || !r.step.awaitsStart());
         }
     }
 
@@ -169,7 +169,7 @@
         Map<Worker, Integer> taskCounts = new LinkedHashMap<>();
         Map<Run, Boolean> victims = new LinkedHashMap<>();
         Map<Worker, Resources> available = new HashMap<>();
-        Map<Worker, List<Run>> releasable = new HashMap<>();
+        Map<Worker, List<ReleasableRun>> releasable = new HashMap<>();
         group.forEach(w -> available.put(w, w.resourcesFreeFor(step).plus(stoppingResources(w))));
         double cost = 0;
         for (int i = 0; i < taskCount; i++) {
@@ -179,17 +179,9 @@
                 if (!releasable.containsKey(worker) && !fits(step, available.get(worker))) {
                     releasable.put(worker, releasableByCost(step, worker, strategy, nowMs));
                 }
-                List<Run> runs = releasable.getOrDefault(worker, List.of());
+                List<ReleasableRun> runs = releasable.getOrDefault(worker, List.of());
                 Candidate candidate =
-                        candidateOn(
-                                step,
-                                worker,
-                                available.get(worker),
-                                placed,
-                                runs,
-                                victims,
-                                strategy,
-                                nowMs);
+                        candidateOn(step, worker, available.get(worker), placed, runs, victims);
                 if (candidate != null && (best == null || candidate.cost < best.cost)) {
                     best = candidate;
                 }
@@ -221,10 +213,8 @@
             Worker worker,
             Resources available,
             int placed,
-            List<Run> runs,
-            Map<Run, Boolean> victims,
-            ReleaseStrategy strategy,
-            long nowMs) {
+            List<ReleasableRun> runs,
+            Map<Run, Boolean> victims) {
         int limit = step.plan.maxPerWorker();
         if (limit > 0 && worker.runCountOf(step) + placed >= limit) {
             return null;
@@ -234,13 +224,13 @@
         List<Run> chosen = new ArrayList<>();
         double cost = 0;
         if (!need.fitsIn(remaining)) {
-            for (Run run : runs) {
-                if (victims.containsKey(run)) {
+            for (ReleasableRun releasable : runs) {
+                if (victims.containsKey(releasable.run)) {
                     continue;
                 }
-                remaining = remaining.plus(run.resources);
-                chosen.add(run);
-                cost += strategy.releaseCost(run, nowMs);
+                remaining = remaining.plus(releasable.run.resources);
+                chosen.add(releasable.run);
+                cost += releasable.cost;
                 if (need.fitsIn(remaining)) {
                     break;
                 }
@@ -249,15 +239,18 @@
         return need.fitsIn(remaining) ? new Candidate(worker, chosen, cost) : null;
     }
 
-    private static List<Run> releasableByCost(
+    /** A run that can free its resources, and the cost of that. */
+    private record ReleasableRun(Run run, double cost) {}
+
+    private static List<ReleasableRun> releasableByCost(
             StepInstance step, Worker worker, ReleaseStrategy strategy, long nowMs) {
-        List<Run> runs = new ArrayList<>();
+        List<ReleasableRun> runs = new ArrayList<>();
         for (Run run : worker.runs.values()) {
             if (run.phase != Phase.STOPPING && strategy.canRelease(step, run)) {
-                runs.add(run);
+                runs.add(new ReleasableRun(run, strategy.releaseCost(run, nowMs)));
             }
         }
-        runs.sort(Comparator.comparingDouble(run -> strategy.releaseCost(run, nowMs)));
+        runs.sort(Comparator.comparingDouble(ReleasableRun::cost));
         return runs;
     }
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
@@ -19,6 +19,7 @@
     public final Map<JobId, Job> activeJobs = new LinkedHashMap<>();
     public final Map<JobId, Job> endedJobs = new LinkedHashMap<>();
     public final Set<Job> unsavedJobs = new LinkedHashSet<>();
+    public final RolloutTracker rollout = new RolloutTracker();
     public final DurationEstimator durationEstimator;
     public ClusterConfig config = new ClusterConfig(0, List.of(), List.of());
     private List<JobAction> mActions = new ArrayList<>();
@@ -43,12 +44,32 @@
         return actions;
     }
 
-    /** Returns the expected remaining duration of a run; 0 for an overdue one. */
+    /**
+     * Returns the expected time until a run ends; 0 for an overdue one. A gang ends with its
+     * slowest member.
+     */
     long remainingMs(Run run, long nowMs) {
         StepInstance step = run.task.step;
-        long expectedMs = durationEstimator.expectedMs(step.job.record.queue(), step.plan);
+        if (!step.plan.gang()) {
+            return remainingWorkMs(run, nowMs);
+        }
+        long longestMs = 0;
+        for (Task member : step.tasks) {
+            if (member.run != null && member.run.ref.attempt() == run.ref.attempt()) {
+                longestMs = Math.max(longestMs, remainingWorkMs(member.run, nowMs));
+            }
+        }
+        return longestMs;
+    }
+
+    private long remainingWorkMs(Run run, long nowMs) {
+        if (run.progress.canForecast() || (run.worker.slow && run.progress.isMeasured())) {
+            return run.progress.remainingMs(nowMs);
+        }
+        StepInstance step = run.task.step;
+        long expectedMs = step.expectedMs(durationEstimator);
         long elapsedMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
-        long doneMs = Math.max(elapsedMs, step.plan.estimateMs() * run.progressPercent / 100);
+        long doneMs = Math.max(elapsedMs, expectedMs * run.progress.percent() / 100);
         return Math.max(0, expectedMs - doneMs);
     }
 
@@ -79,6 +100,7 @@
                         task.step.checkpointFor(task),
                         run.ticket));
         run.lastStartSentAtMs = nowMs;
+        run.resumed = !task.step.checkpointFor(task).isEmpty();
         if (run.phase == Phase.RECORDING) {
             run.phase = Phase.STARTING;
             run.firstStartSentAtMs = nowMs;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DeadlineOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DeadlineOrder.java
@@ -62,7 +62,7 @@
     public boolean shouldRunRemotely(
             StepInstance step, double remoteFactor, long nowMs, long wallMs) {
         Job job = step.job;
-        long expectedMs = mEstimator.expectedMs(job.record.queue(), step.plan);
+        long expectedMs = step.expectedMs(mEstimator);
         if (step.plan.longRunning()) {
             return nowMs - step.readySinceMs > expectedMs;
         }
@@ -80,11 +80,20 @@
 
     @Override
     public long latestStartMs(StepInstance step, long nowMs, long wallMs) {
-        return latencyStartMs(step, nowMs, wallMs)
-                + objectiveMs(step.job)
+        return objectiveEndMs(step, nowMs, wallMs)
                 - step.job.remainingCriticalPathMs(step.occurrence, mEstimator);
     }
 
+    @Override
+    public long objectiveEndMs(StepInstance step, long nowMs, long wallMs) {
+        return latencyStartMs(step, nowMs, wallMs) + objectiveMs(step.job);
+    }
+
+    @Override
+    public long lastUsefulEndMs(StepInstance step, long nowMs, long wallMs) {
+        return latencyStartMs(step, nowMs, wallMs) + USEFUL_LATENESS_FACTOR * objectiveMs(step.job);
+    }
+
     /** Returns the time from which a job's objective counts: its due time or its acceptance. */
     private static long latencyStartMs(StepInstance step, long nowMs, long wallMs) {
         Job job = step.job;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -1,7 +1,6 @@
 package org.lycheeroad.coordination.jobs;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -138,8 +137,7 @@
             return;
         }
         boolean allowRemote = mayRunRemotely(step, guaranteed, nowMs, wallMs);
-        Collection<Worker> workers = mState.workers.values();
-        Map<Task, Worker> assignments = Placement.place(step, tasks, workers, allowRemote, nowMs);
+        Map<Task, Worker> assignments = Placement.place(step, tasks, mState, allowRemote, nowMs);
         int attempt = 0;
         for (Map.Entry<Task, Worker> assignment : assignments.entrySet()) {
             Task task = assignment.getKey();
@@ -208,7 +206,7 @@
         }
         long latestMs = mOrder.latestStartMs(step, nowMs, wallMs);
         boolean isStartDue = latestMs >= nowMs && latestMs - nowMs < PREEMPTION_LEAD_MS;
-        long expectedMs = mState.durationEstimator.expectedMs(step.job.record.queue(), step.plan);
+        long expectedMs = step.expectedMs(mState.durationEstimator);
         return guaranteed || isStartDue
                 ? MAX_LOSS_FACTOR * CapacityReclaimer.workCoreMs(step, expectedMs)
                 : -1;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/FifoOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/FifoOrder.java
@@ -24,6 +24,16 @@
         return mDeadlines.latestStartMs(step, nowMs, wallMs);
     }
 
+    @Override
+    public long objectiveEndMs(StepInstance step, long nowMs, long wallMs) {
+        return mDeadlines.objectiveEndMs(step, nowMs, wallMs);
+    }
+
+    @Override
+    public long lastUsefulEndMs(StepInstance step, long nowMs, long wallMs) {
+        return mDeadlines.lastUsefulEndMs(step, nowMs, wallMs);
+    }
+
     @Override
     public long objectiveMs(Job job) {
         return mDeadlines.objectiveMs(job);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
@@ -108,7 +108,7 @@
             for (int predecessor : step.plan.after()) {
                 startMs = Math.max(startMs, endMs[predecessor]);
             }
-            long durationMs = step.isDone() ? 0 : estimator.expectedMs(record.queue(), step.plan);
+            long durationMs = step.isDone() ? 0 : step.expectedMs(estimator);
             endMs[i] = startMs + durationMs;
             longestMs = Math.max(longestMs, endMs[i]);
         }
@@ -125,18 +125,26 @@
             for (int predecessor : steps.get(i).after()) {
                 startMs = Math.max(startMs, endMs[predecessor]);
             }
-            endMs[i] = startMs + estimator.expectedMs(record.queue(), steps.get(i));
+            endMs[i] = startMs + expectedMs(i, estimator);
             longestMs = Math.max(longestMs, endMs[i]);
         }
         return longestMs;
     }
 
+    /** Returns the expected duration of a step; its newest occurrence may have been observed. */
+    private long expectedMs(int step, DurationEstimator estimator) {
+        return occurrences.isEmpty()
+                ? estimator.expectedMs(record.queue(), record.plan().steps().get(step))
+                : occurrences.lastEntry().getValue().get(step).expectedMs(estimator);
+    }
+
     ProgressRecord toProgressRecord() {
         List<TaskProgress> tasks = new ArrayList<>();
         for (List<StepInstance> steps : occurrences.values()) {
             for (StepInstance step : steps) {
                 for (Task task : step.tasks) {
-                    if (task.attempt > 0 || task.done) {
+                    // Of an ended job, only runs that may still exist matter to a later owner.
+                    if (state.isEnded() ? task.run != null : task.attempt > 0 || task.done) {
                         tasks.add(toTaskProgress(task));
                     }
                 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -36,6 +36,7 @@
     private final ClusterState mState;
     private final RunTracker mTracker;
     private final WorkerEvacuator mEvacuator;
+    private final SlowRunMover mSlowRunMover;
     private final AdviceRequester mAdviceRequester;
     private final DecisionRound mRound;
 
@@ -50,6 +51,7 @@
         mEvacuator = new WorkerEvacuator(mState);
         mAdviceRequester = new AdviceRequester(mState);
         SchedulingOrder order = policies.newOrder(mState.durationEstimator);
+        mSlowRunMover = new SlowRunMover(mState, order);
         mRound = new DecisionRound(mState, settings, order, mAdviceRequester);
     }
 
@@ -110,6 +112,7 @@
         }
         worker.entry = entry;
         worker.registered = true;
+        mState.rollout.onEntry(worker, nowMs);
         if (worker.incarnation == 0) {
             worker.incarnation = entry.incarnationStartMs();
         } else if (entry.incarnationStartMs() > worker.incarnation) {
@@ -200,13 +203,15 @@
     }
 
     /**
-     * Repeats orders that are due, moves runs off draining workers and assigns pending tasks.
+     * Repeats orders that are due, moves runs off draining and slow workers and assigns pending
+     * tasks.
      *
      * @param wallMs the time of day, in milliseconds since 1970
      */
     public void runDecisionRound(long nowMs, long wallMs) {
         mTracker.onTick(nowMs);
         mEvacuator.evacuate(nowMs);
+        mSlowRunMover.moveRuns(nowMs, wallMs);
         mRound.run(nowMs, wallMs);
     }
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -40,6 +40,15 @@
     /** Ranks workers with serving tasks after those without, for best-effort tasks. */
     private static final double SERVING_WORKER_COST = 500;
 
+    /**
+     * Ranks workers without a recent success after others for a step that has failed before: its
+     * attempts are limited, and other workers may fail all that they start.
+     */
+    private static final double UNPROVEN_WORKER_COST = 2_000;
+
+    /** Tasks up to this duration end before a draining worker leaves. */
+    private static final long MAX_SHORT_MS = 3_000;
+
     /** Ranks workers on which the task has failed after all others. */
     private static final double PREVIOUS_FAILURE_COST = 10_000;
 
@@ -48,9 +57,43 @@
     /**
      * Returns workers for as many of the tasks as fit; for a gang, for all of them or none.
      *
+     * <p>Workers that are likely to be replaced soon are used only if the tasks do not fit without
+     * them.
+     *
      * @param allowRemote whether the tasks may run on other racks than their data or across racks
      */
     static Map<Task, Worker> place(
+            StepInstance step,
+            List<Task> pending,
+            ClusterState state,
+            boolean allowRemote,
+            long nowMs) {
+        Collection<Worker> workers = state.workers.values();
+        if (losesWorkWithItsWorker(step, state)) {
+            List<Worker> lasting = new ArrayList<>();
+            for (Worker worker : workers) {
+                if (worker.entry != null && !state.rollout.isOutdated(worker, nowMs)) {
+                    lasting.add(worker);
+                }
+            }
+            if (lasting.size() < workers.size()) {
+                Map<Task, Worker> assignments = place(step, pending, lasting, false, nowMs);
+                if (assignments.size() == pending.size()) {
+                    return assignments;
+                }
+            }
+        }
+        return place(step, pending, workers, allowRemote, nowMs);
+    }
+
+    /** Returns whether a step loses much work if it has to leave a worker. */
+    private static boolean losesWorkWithItsWorker(StepInstance step, ClusterState state) {
+        return !step.plan.longRunning()
+                && !step.plan.checkpointing()
+                && (step.plan.gang() || step.expectedMs(state.durationEstimator) > MAX_SHORT_MS);
+    }
+
+    private static Map<Task, Worker> place(
             StepInstance step,
             List<Task> pending,
             Collection<Worker> workers,
@@ -192,6 +235,7 @@
     /** Assigns each task to its cheapest worker, as long as tasks fit. */
     private static Map<Task, Worker> assignCheapest(
             StepInstance step, List<Task> pending, List<Worker> workers, long nowMs) {
+        boolean hasFailed = step.failureCount() > 0;
         Map<Worker, Integer> fittingTasks = new HashMap<>();
         Map<Worker, Integer> assigned = new HashMap<>();
         Map<RackId, Integer> idleWorkers = new HashMap<>();
@@ -215,6 +259,7 @@
                                                                     task,
                                                                     w,
                                                                     assigned.getOrDefault(w, 0),
+                                                                    hasFailed,
                                                                     nowMs))
                                             .thenComparing(
                                                     w ->
@@ -243,7 +288,8 @@
         return busyCores + bestEffortCores + (worker.hasServingRuns() ? SERVING_WORKER_COST : 0);
     }
 
-    private static double cost(Task task, Worker worker, int assigned, long nowMs) {
+    private static double cost(
+            Task task, Worker worker, int assigned, boolean hasFailed, long nowMs) {
         StepInstance step = task.step;
         Resources remaining =
                 worker.resourcesFreeFor(step)
@@ -264,6 +310,9 @@
         if (task.failedWorkers.contains(worker.id)) {
             cost += PREVIOUS_FAILURE_COST;
         }
+        if (hasFailed && !worker.hasRecentSuccess(nowMs)) {
+            cost += UNPROVEN_WORKER_COST;
+        }
         return cost;
     }
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -54,10 +54,13 @@
      */
     public long confirmedAtMs = Long.MAX_VALUE;
 
-    public int progressPercent;
+    public final RunProgress progress = new RunProgress();
 
-    /** When the progress percentage last increased. */
-    public long lastProgressAtMs;
+    /** Whether the run's duration has been added to those of its step. */
+    public boolean durationObserved;
+
+    /** Whether the start order carried a checkpoint, so that the run begins with work done. */
+    public boolean resumed;
 
     /** When the scheduler first saw the run running; 0 before that. */
     public long runningSinceMs;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -31,6 +31,17 @@
      */
     private static final int QUARANTINE_FAILED_STEPS = 2;
 
+    /** A run that fails within this time, or this fraction of its duration, failed at once. */
+    private static final long MIN_AT_ONCE_MS = 500;
+
+    private static final double AT_ONCE_FRACTION = 0.1;
+
+    /**
+     * The fraction of the workers that may be in quarantine for a single failure to add another; a
+     * job that fails everywhere must not take all workers away.
+     */
+    private static final double MAX_SUSPECT_FRACTION = 0.15;
+
     /** How long no starts are sent after a refused one; it doubles with each further refusal. */
     private static final long FIRST_REFUSAL_BACKOFF_MS = 500;
 
@@ -53,11 +64,13 @@
 
     private final ClusterState mState;
     private final SchedulerSettings mSettings;
+    private final SlowWorkerDetector mSlowWorkerDetector;
     private final BestEffortThrottle mThrottle;
 
     RunTracker(ClusterState state, SchedulerSettings settings) {
         mState = state;
         mSettings = settings;
+        mSlowWorkerDetector = new SlowWorkerDetector(state);
         mThrottle = new BestEffortThrottle(state);
     }
 
@@ -88,6 +101,7 @@
                 onLost(run, nowMs);
             }
         }
+        mSlowWorkerDetector.onReport(worker, nowMs);
         mThrottle.onReport(worker, nowMs);
     }
 
@@ -139,7 +153,9 @@
                 run.confirmedAtMs = nowMs;
                 run.startedAtMs = nowMs;
                 run.runningSinceMs = nowMs;
-                run.lastProgressAtMs = nowMs;
+                if (!run.resumed) {
+                    run.progress.start(0, nowMs);
+                }
             }
             case UNKNOWN -> {
                 run.hasUnansweredStart = true;
@@ -214,11 +230,11 @@
         StepInstance step = run.task.step;
         if (step.plan.longRunning()
                 || step.plan.fills()
-                || run.progressPercent >= ESTIMATE_REACHED_PERCENT) {
+                || run.progress.percent() >= ESTIMATE_REACHED_PERCENT) {
             return false;
         }
-        long expectedMs = mState.durationEstimator.expectedMs(step.job.record.queue(), step.plan);
-        return nowMs - run.lastProgressAtMs
+        long expectedMs = step.expectedMs(mState.durationEstimator);
+        return nowMs - Math.max(run.runningSinceMs, run.progress.advancedAtMs())
                 > Math.max(MIN_STALL_MS, Math.round(expectedMs * STALL_FRACTION));
     }
 
@@ -235,13 +251,21 @@
             run.confirmedAtMs = nowMs;
             run.startedAtMs = nowMs;
             run.runningSinceMs = nowMs;
-            run.lastProgressAtMs = nowMs;
-            run.progressPercent = running.percent();
         }
         run.reportedUsage = running.usage();
-        if (running.percent() > run.progressPercent) {
-            run.progressPercent = running.percent();
-            run.lastProgressAtMs = nowMs;
+        run.progress.report(running.percent(), nowMs);
+        observeDuration(run);
+    }
+
+    /** Adds the duration that a run's progress shows to the observations of its step, once. */
+    private static void observeDuration(Run run) {
+        if (!run.durationObserved
+                && !run.remote
+                && !run.worker.slow
+                && SlowWorkerDetector.isMeasurable(run)
+                && run.progress.canForecast()) {
+            run.durationObserved = true;
+            run.task.step.observedDurations.add(run.worker.id, run.progress.fullDurationMs());
         }
     }
 
@@ -294,6 +318,7 @@
         StepInstance step = run.task.step;
         run.worker.failedSteps.clear();
         run.worker.quarantineMs = 0;
+        run.worker.lastSuccessAtMs = nowMs;
         if (run.runningSinceMs > 0 && run.task.attempt == 1 && !run.remote) {
             mState.durationEstimator.recordDuration(
                     step.job.record.queue(), step.plan, nowMs - run.runningSinceMs);
@@ -310,8 +335,16 @@
 
     private void onFailure(Run run, long nowMs) {
         StepInstance step = run.task.step;
-        run.task.failedWorkers.add(run.worker.id);
+        boolean isFirstFailedWorker = step.failureCount() == 0;
+        run.worker.lastFailureAtMs = nowMs;
         recordWorkerFailure(run.worker, step, nowMs);
+        if (isFirstFailedWorker && failedAtOnce(run, nowMs) && canQuarantineOnSuspicion(nowMs)) {
+            quarantine(run.worker, nowMs);
+        }
+        // The members of a gang share their attempts, so none of them may go there again.
+        for (Task task : step.plan.gang() ? step.tasks : List.of(run.task)) {
+            task.failedWorkers.add(run.worker.id);
+        }
         int failures;
         if (step.plan.gang()) {
             if (step.lastFailedGangAttempt < run.ref.attempt()) {
@@ -352,12 +385,33 @@
     private static void recordWorkerFailure(Worker worker, StepInstance step, long nowMs) {
         worker.failedSteps.add(step);
         if (worker.failedSteps.size() >= QUARANTINE_FAILED_STEPS) {
-            worker.quarantineMs =
-                    Math.min(
-                            MAX_QUARANTINE_MS,
-                            Math.max(FIRST_QUARANTINE_MS, worker.quarantineMs * 2));
-            worker.quarantinedUntilMs = nowMs + worker.quarantineMs;
+            quarantine(worker, nowMs);
+        }
+    }
+
+    private static void quarantine(Worker worker, long nowMs) {
+        worker.quarantineMs =
+                Math.min(MAX_QUARANTINE_MS, Math.max(FIRST_QUARANTINE_MS, worker.quarantineMs * 2));
+        worker.quarantinedUntilMs = nowMs + worker.quarantineMs;
+    }
+
+    /** Returns whether a run failed so soon that rather the worker than the job is the cause. */
+    private boolean failedAtOnce(Run run, long nowMs) {
+        if (run.task.step.plan.longRunning()) {
+            return false;
+        }
+        long expectedMs = run.task.step.expectedMs(mState.durationEstimator);
+        long elapsedMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
+        return elapsedMs < Math.max(MIN_AT_ONCE_MS, Math.round(expectedMs * AT_ONCE_FRACTION));
+    }
+
+    /** Returns whether few enough workers are in quarantine to add one on a single failure. */
+    private boolean canQuarantineOnSuspicion(long nowMs) {
+        int quarantined = 0;
+        for (Worker worker : mState.workers.values()) {
+            quarantined += nowMs < worker.quarantinedUntilMs ? 1 : 0;
         }
+        return quarantined + 1 <= mState.workers.size() * MAX_SUSPECT_FRACTION;
     }
 
     /** Returns whether a run has certainly ended if a report requested at a time lacks it. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulingOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulingOrder.java
@@ -24,6 +24,12 @@
     /** Returns the latest start of a step with which its job is expected to end in time. */
     long latestStartMs(StepInstance step, long nowMs, long wallMs);
 
+    /** Returns the latest end of a step's occurrence of its job within the objective. */
+    long objectiveEndMs(StepInstance step, long nowMs, long wallMs);
+
+    /** Returns the latest end at which the result of that occurrence is still useful. */
+    long lastUsefulEndMs(StepInstance step, long nowMs, long wallMs);
+
     /** Returns the time within which a job should end. */
     long objectiveMs(Job job);
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
@@ -21,6 +21,9 @@
 
     public int gangFailures;
 
+    /** The durations that the progress of the step's runs has shown. */
+    public final ObservedDurations observedDurations = new ObservedDurations();
+
     /** The decisions of the queue's placement policy, if it has one. */
     public final PolicyDecisions policyDecisions = new PolicyDecisions();
 
@@ -34,6 +37,23 @@
         }
     }
 
+    /** Returns how many runs of the step have failed; the members of a gang count as one run. */
+    int failureCount() {
+        int failures = gangFailures;
+        for (Task task : tasks) {
+            failures += task.failures;
+        }
+        return failures;
+    }
+
+    /** Returns the expected duration of the step's tasks that have not started. */
+    long expectedMs(DurationEstimator estimator) {
+        if (observedDurations.isEmpty()) {
+            return estimator.expectedMs(job.record.queue(), plan);
+        }
+        return plan.gang() ? observedDurations.longestMs() : observedDurations.medianMs();
+    }
+
     boolean isDone() {
         for (Task task : tasks) {
             if (!task.done) {
@@ -66,6 +86,16 @@
         return found;
     }
 
+    /** Returns whether some task is pending, or will be once its run has stopped. */
+    boolean awaitsStart() {
+        for (Task task : tasks) {
+            if (!task.done && (task.run == null || task.run.phase == Run.Phase.STOPPING)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns whether the queue has no placement policy, or a valid ticket for a worker. */
     boolean isAllowedByPolicy(Worker worker, long nowMs) {
         return job.queue.advice() == null || policyDecisions.hasValidTicket(worker, nowMs);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopReason.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopReason.java
@@ -6,6 +6,8 @@
     RECLAIMED,
     /** It has made no progress for too long. */
     STALLED,
+    /** Its worker is much slower than others, and its job ends sooner elsewhere. */
+    WORKER_SLOW,
     /** Its start was not answered. */
     NO_ANSWER,
     /** Its start was refused, but an earlier start order was not answered and may still arrive. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Task.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Task.java
@@ -18,6 +18,9 @@
 
     public int failures;
 
+    /** How many runs were stopped to move the task off a slow worker. */
+    public int moves;
+
     /** Whether a run has succeeded. */
     public boolean done;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -16,6 +16,9 @@
 
 /** The scheduler's view of a worker. */
 final class Worker {
+    /** How long a success shows that a worker can run tasks; disturbances last some seconds. */
+    private static final long RECENT_SUCCESS_MS = 10_000;
+
     /**
      * A reported end of a run that must not be acknowledged before the store holds it.
      *
@@ -87,6 +90,15 @@
     /** No runs are assigned before this time, because of failures or refused starts. */
     public long quarantinedUntilMs;
 
+    /** When a run last succeeded here; 0 if none has. */
+    public long lastSuccessAtMs;
+
+    /** When a run last failed here; 0 if none has. */
+    public long lastFailureAtMs;
+
+    /** Whether the progress of its runs shows that the worker is much slower than usual. */
+    public boolean slow;
+
     /** The length of the last quarantine; 0 after a success. */
     public long quarantineMs;
 
@@ -145,6 +157,11 @@
                 && nowMs >= quarantinedUntilMs;
     }
 
+    /** Returns whether the newest ended run was a recent success. */
+    boolean hasRecentSuccess(long nowMs) {
+        return lastSuccessAtMs > lastFailureAtMs && nowMs - lastSuccessAtMs < RECENT_SUCCESS_MS;
+    }
+
     int runCountOf(StepInstance step) {
         int count = 0;
         for (Run run : runs.values()) {
--- /dev/null
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
@@ -0,0 +1,99 @@
+package org.lycheeroad.coordination.jobs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.BULK;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.ended;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.gang;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.tasks;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.work.RunOutcome;
+
+/** A tenth of the workers fail all that they start, and wide gangs have few attempts. */
+class FailingWorkerTest {
+    private static final int WORKERS = 20;
+
+    private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
+    private final Map<String, Integer> mEndNumbers = new HashMap<>();
+
+    @BeforeEach
+    void addWorkers() {
+        for (int i = 0; i < WORKERS; i++) {
+            mFixture.addWorker(String.format("w%02d", i), "r" + i / 10);
+        }
+    }
+
+    private List<JobAction.Start> startAll() {
+        List<JobAction> actions = mFixture.runRound();
+        mFixture.acceptStarts(actions);
+        return starts(actions);
+    }
+
+    private void end(JobAction.Start start, RunOutcome how) {
+        String worker = start.worker().value();
+        int number = mEndNumbers.merge(worker, 1, Integer::sum);
+        mFixture.report(worker, List.of(), List.of(ended(number, start.run(), how)));
+    }
+
+    /** Guards against a failing worker that uses up an attempt of a second job. */
+    @Test
+    void workerThatFailsARunAtOnceGetsNoOtherRunForAWhile() {
+        mFixture.submit("j1", BULK, tasks(1, 1, 5_000));
+        JobAction.Start first = startAll().get(0);
+        mFixture.nowMs += 100;
+        end(first, RunOutcome.FAILED);
+        mFixture.submit("j2", BULK, tasks(WORKERS, 8, 5_000));
+        assertThat(workersOf(startAll()))
+                .hasSize(WORKERS - 1)
+                .doesNotContain(first.worker().value());
+        mFixture.nowMs += 3_001;
+        assertThat(workersOf(startAll())).containsExactly(first.worker().value());
+    }
+
+    /** Guards against taking workers out of use for a run that fails late, as jobs do. */
+    @Test
+    void workerThatFailsARunLateStaysInUse() {
+        mFixture.submit("j1", BULK, tasks(1, 1, 5_000));
+        JobAction.Start first = startAll().get(0);
+        mFixture.nowMs += 2_000;
+        end(first, RunOutcome.FAILED);
+        mFixture.submit("j2", BULK, tasks(WORKERS, 8, 5_000));
+        assertThat(workersOf(startAll())).hasSize(WORKERS);
+    }
+
+    /** Guards against a job that fails everywhere and takes the workers away from all others. */
+    @Test
+    void jobThatFailsEverywhereLeavesMostWorkersInUse() {
+        mFixture.submit("j1", BULK, tasks(WORKERS, 8, 5_000));
+        List<JobAction.Start> all = startAll();
+        mFixture.nowMs += 100;
+        all.forEach(start -> end(start, RunOutcome.FAILED));
+        mFixture.submit("j2", BULK, tasks(WORKERS, 0, 5_000));
+        assertThat(workersOf(startAll())).hasSizeGreaterThanOrEqualTo(WORKERS * 8 / 10);
+    }
+
+    /** Guards against a gang whose next attempt fails on another failing worker. */
+    @Test
+    void nextAttemptOfAGangPrefersWorkersWithARecentSuccess() {
+        mFixture.submit("j0", BULK, tasks(WORKERS, 8, 5_000));
+        for (JobAction.Start start : startAll()) {
+            boolean succeeds = start.worker().value().compareTo("w16") >= 0;
+            end(start, succeeds ? RunOutcome.DONE : RunOutcome.LAPSED);
+        }
+        mFixture.scheduler.onCancel(new JobId("j0"), mFixture.nowMs);
+        mFixture.submit("j1", BULK, gang(4, 8, 5_000, false));
+        List<JobAction.Start> attempt = startAll();
+        assertThat(workersOf(attempt)).containsExactlyInAnyOrder("w00", "w01", "w02", "w03");
+        mFixture.nowMs += 2_000;
+        end(attempt.get(0), RunOutcome.FAILED);
+        attempt.subList(1, 4).forEach(start -> end(start, RunOutcome.BROKEN));
+        assertThat(workersOf(startAll())).containsExactlyInAnyOrder("w16", "w17", "w18", "w19");
+    }
+}
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerEvacuatorTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerEvacuatorTest.java
@@ -54,7 +54,8 @@
         for (int i = 0; i < 40; i++) {
             assertThat(stops(mFixture.runRound())).isEmpty();
             mFixture.nowMs += 100;
-            mFixture.report(run.worker().value(), List.of(running(run, 2 * i)), List.of());
+            int percent = Math.min(99, i * 100 / 30);
+            mFixture.report(run.worker().value(), List.of(running(run, percent)), List.of());
         }
     }
 
--- a/state/src/main/java/org/lycheeroad/state/work/WorkerStatus.java
+++ b/state/src/main/java/org/lycheeroad/state/work/WorkerStatus.java
@@ -12,6 +12,7 @@
  *     identifies the incarnation of the worker
  * @param draining whether the worker is shutting down
  * @param remainingMs the minimum time until a draining worker stops, in milliseconds
+ * @param softwareVersion the version of the worker's software, or an empty string
  */
 public record WorkerStatus(
         WorkerId id,
@@ -22,8 +23,33 @@
         long remainingMs,
         Resources capacity,
         Set<String> labels,
-        RackId rack) {
+        RackId rack,
+        String softwareVersion) {
     public WorkerStatus {
         labels = Set.copyOf(labels);
     }
+
+    /** Creates a status without a software version. */
+    public WorkerStatus(
+            WorkerId id,
+            long incarnationStartMs,
+            HostPort address,
+            ServiceName service,
+            boolean draining,
+            long remainingMs,
+            Resources capacity,
+            Set<String> labels,
+            RackId rack) {
+        this(
+                id,
+                incarnationStartMs,
+                address,
+                service,
+                draining,
+                remainingMs,
+                capacity,
+                labels,
+                rack,
+                "");
+    }
 }
