--- a/scheduler/src/main/java/org/lycheeroad/scheduler/HealthTrackingStore.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/HealthTrackingStore.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.lycheeroad.scheduler.log.EventRecorder;
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.MetadataStore;
@@ -25,9 +26,10 @@
     private final Clock mClock;
     private final EventRecorder mEvents;
     private int mConsecutiveFailures;
-    private long mFailingSinceMs;
+    private volatile long mFailingSinceMs;
     private boolean mProbeInFlight;
     private volatile boolean mUnavailable;
+    private volatile LongConsumer mUnavailableAction = failingForMs -> {};
 
     /**
      * Creates a store.
@@ -42,6 +44,14 @@
         mEvents = events;
     }
 
+    /**
+     * Sets the action to run with each probe while the store is unavailable; it receives for how
+     * many milliseconds the store has been so.
+     */
+    public void setUnavailableAction(LongConsumer action) {
+        mUnavailableAction = action;
+    }
+
     /** Returns whether the store is currently unavailable from this VM. */
     public boolean isUnavailable() {
         return mUnavailable;
@@ -129,6 +139,9 @@
     private void probe() {
         if (!mProbeInFlight) {
             mProbeInFlight = true;
+            if (mUnavailable) {
+                mUnavailableAction.accept(mClock.monotonicMs() - mFailingSinceMs);
+            }
             mExecutor.whenComplete(
                     read(StoreKeys.EPOCH),
                     (keyValue, e) -> {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
@@ -62,11 +62,13 @@
                         policy,
                         schema,
                         mConfigCache,
+                        peers,
                         settings,
                         clock,
                         events,
                         metrics,
                         eventLoopGroup);
+        store.setUnavailableAction(mOwnerService::onStoreUnavailable);
         JobStore jobStore = new JobStore(store);
         mJobApi =
                 new JobApi(
@@ -82,7 +84,7 @@
                         settings.peerAddress(),
                         eventLoopGroup,
                         MAX_PEER_BODY_BYTES,
-                        new PeerServer(mConfigCache, mOwnerService, jobStore));
+                        new PeerServer(mConfigCache, mOwnerService, jobStore, store));
         metrics.registerGauge("lycheeroad_config_age_ms", mConfigCache::ageMs);
         metrics.registerGauge("lycheeroad_owner", () -> mOwnerService.isOwner() ? 1 : 0);
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -82,7 +82,7 @@
                     return writeWithRetries(
                                     request,
                                     () -> mJobStore.accept(id.get(), record),
-                                    () -> mPeers.acceptViaOwner(id.get(), record))
+                                    () -> mPeers.acceptViaPeers(id.get(), record))
                             .thenApply(outcome -> onSubmitOutcome(id.get(), access, plan, outcome));
                 });
     }
@@ -99,7 +99,7 @@
                     return writeWithRetries(
                                     request,
                                     () -> mJobStore.cancel(id.get()),
-                                    () -> mPeers.cancelViaOwner(id.get()))
+                                    () -> mPeers.cancelViaPeers(id.get()))
                             .thenApply(outcome -> onCancelOutcome(id.get(), outcome));
                 });
     }
@@ -170,23 +170,24 @@
     }
 
     /**
-     * Writes to the store directly and, if the outcome is not definite, via the owner. Repeats this
-     * until the outcome is definite, the store is unavailable or the time for retries is over.
+     * Writes to the store directly and, if the outcome is not definite, via the owner or other
+     * daemons. Repeats this until the outcome is definite, the store is unavailable or the time for
+     * retries is over.
      */
     private CompletableFuture<StoreOutcome> writeWithRetries(
             ApiRequest request,
             Supplier<CompletableFuture<StoreOutcome>> direct,
-            Supplier<CompletableFuture<StoreOutcome>> viaOwner) {
+            Supplier<CompletableFuture<StoreOutcome>> viaPeers) {
         CompletableFuture<StoreOutcome> result = new CompletableFuture<>();
         long retryUntilMs =
                 mClock.monotonicMs() + Math.round(request.timeoutMs() * RETRY_TIME_FRACTION);
-        attemptWrite(direct, viaOwner, retryUntilMs, false, result);
+        attemptWrite(direct, viaPeers, retryUntilMs, false, result);
         return result;
     }
 
     private void attemptWrite(
             Supplier<CompletableFuture<StoreOutcome>> direct,
-            Supplier<CompletableFuture<StoreOutcome>> viaOwner,
+            Supplier<CompletableFuture<StoreOutcome>> viaPeers,
             long retryUntilMs,
             boolean mayBeStoredBefore,
             CompletableFuture<StoreOutcome> result) {
@@ -198,32 +199,22 @@
                         return;
                     }
                     boolean mayBeStored = mayBeStoredBefore || outcome != StoreOutcome.REFUSED;
-                    if (mPeers.hasRemoteOwner()) {
-                        mExecutor.whenComplete(
-                                viaOwner.get(),
-                                (relayedOutcome, x) ->
-                                        finishOrRetry(
-                                                direct,
-                                                viaOwner,
-                                                retryUntilMs,
-                                                mayBeStored,
-                                                relayedOutcome,
-                                                result));
-                    } else {
-                        finishOrRetry(
-                                direct,
-                                viaOwner,
-                                retryUntilMs,
-                                mayBeStored,
-                                StoreOutcome.REFUSED,
-                                result);
-                    }
+                    mExecutor.whenComplete(
+                            viaPeers.get(),
+                            (relayedOutcome, x) ->
+                                    finishOrRetry(
+                                            direct,
+                                            viaPeers,
+                                            retryUntilMs,
+                                            mayBeStored,
+                                            relayedOutcome,
+                                            result));
                 });
     }
 
     private void finishOrRetry(
             Supplier<CompletableFuture<StoreOutcome>> direct,
-            Supplier<CompletableFuture<StoreOutcome>> viaOwner,
+            Supplier<CompletableFuture<StoreOutcome>> viaPeers,
             long retryUntilMs,
             boolean mayBeStoredBefore,
             StoreOutcome outcome,
@@ -240,7 +231,7 @@
         }
         mExecutor.schedule(
                 RETRY_INTERVAL_MS,
-                () -> attemptWrite(direct, viaOwner, retryUntilMs, mayBeStored, result));
+                () -> attemptWrite(direct, viaPeers, retryUntilMs, mayBeStored, result));
     }
 
     private ApiResponse onSubmitOutcome(
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
 import org.lycheeroad.scheduler.NodeSettings;
@@ -38,23 +39,28 @@
     /**
      * The time after which a failed owner is replaced; several times the latency of a slow store.
      */
-    private static final long LEASE_MS = 1_500;
+    private static final long LEASE_MS = 1_200;
 
     /**
      * Renewals are sent without waiting for the responses to earlier ones, so that a single lost
      * response does not end the term.
      */
-    private static final long RENEWAL_INTERVAL_MS = 350;
+    private static final long RENEWAL_INTERVAL_MS = 250;
 
     /** Covers the deviation of the store's clock and the rounding of its timers. */
     private static final long LEASE_MARGIN_MS = 150;
 
-    private static final long LONG_POLL_MS = 10_000;
+    /** Bounds how long a change stays unnoticed if a watch connection has silently failed. */
+    private static final long LONG_POLL_MS = 3_000;
 
     /** Delay of a campaign per millisecond of RTT, to give VMs nearer to the store precedence. */
     private static final long CAMPAIGN_DELAY_PER_RTT_MS = 6;
 
     private static final long MAX_CAMPAIGN_DELAY_MS = 900;
+
+    /** Assumed before the first campaign; in a new process, the first calls take longer. */
+    private static final long INITIAL_RTT_MS = 5;
+
     private static final long RETRY_INTERVAL_MS = 200;
 
     private final MetadataStore mStore;
@@ -66,11 +72,12 @@
     private final long mIncarnation;
     private final PrefixWatch mWatch;
     private volatile Optional<OwnerRecord> mOwner = Optional.empty();
+    private volatile Optional<OwnerRecord> mReportedOwner = Optional.empty();
     private Term mTerm;
     private boolean mOwnerKeyRead;
     private boolean mCampaigning;
     private boolean mStopped;
-    private long mRttMs = 20;
+    private long mRttMs = INITIAL_RTT_MS;
 
     public Election(
             MetadataStore store,
@@ -110,9 +117,26 @@
                 });
     }
 
-    /** Returns the owner as last read from the store. */
+    /** Returns the owner as last read from the store, or a newer one that a daemon reported. */
     public Optional<OwnerRecord> owner() {
-        return mOwner;
+        Optional<OwnerRecord> stored = mOwner;
+        Optional<OwnerRecord> reported = mReportedOwner;
+        boolean isReportedNewer =
+                reported.isPresent()
+                        && reported.get().epoch() > stored.map(OwnerRecord::epoch).orElse(-1L);
+        return isReportedNewer ? reported : stored;
+    }
+
+    /**
+     * Handles an owner that another daemon knows.
+     *
+     * <p>It only shows where to send requests; whether the ownership is vacant is decided by the
+     * store alone, since the report may be outdated.
+     */
+    void onOwnerReported(OwnerRecord owner) {
+        if (mReportedOwner.map(OwnerRecord::epoch).orElse(-1L) < owner.epoch()) {
+            mReportedOwner = Optional.of(owner);
+        }
     }
 
     /** Returns whether a record names this process as the owner. */
@@ -133,6 +157,21 @@
                 });
     }
 
+    /**
+     * Ends the term of this VM, if it is owner, because the store is unavailable from here; called
+     * on the election's executor.
+     *
+     * @return the lease to revoke through another VM
+     */
+    Optional<Long> endTermWithoutStore() {
+        Term term = mTerm;
+        if (term == null) {
+            return Optional.empty();
+        }
+        endTerm("store unavailable");
+        return Optional.of(term.leaseId());
+    }
+
     private void scheduleCampaignIfVacant() {
         if (mOwnerKeyRead && mOwner.isEmpty() && mTerm == null && !mCampaigning && !mStopped) {
             mCampaigning = true;
@@ -148,44 +187,39 @@
             return;
         }
         long requestedAtMs = mClock.monotonicMs();
+        // The two calls do not depend on each other; a lease that is not used ends by itself.
+        CompletableFuture<Long> lease =
+                mStore.grantLease(Math.max(LEASE_MS, mSettings.minStoreLeaseMs()));
         mExecutor.whenComplete(
-                mStore.read(StoreKeys.EPOCH),
-                (epochKeyValue, e) -> {
+                mStore.read(StoreKeys.EPOCH).thenCombine(lease, Candidacy::new),
+                (candidacy, e) -> {
                     if (e != null) {
                         scheduleRetry();
                         return;
                     }
                     mRttMs = Math.max(1, mClock.monotonicMs() - requestedAtMs);
-                    grantLease(epochKeyValue);
+                    commitOwnership(candidacy, requestedAtMs);
                 });
     }
 
-    private void grantLease(Optional<KeyValue> epochKeyValue) {
+    /** The newest epoch as stored, and the lease for the owner's key. */
+    private record Candidacy(Optional<KeyValue> epochKeyValue, long leaseId) {}
+
+    private void commitOwnership(Candidacy candidacy, long requestedAtMs) {
+        Optional<KeyValue> stored = candidacy.epochKeyValue;
         long epoch;
         try {
-            epoch =
-                    epochKeyValue.isEmpty()
-                            ? 0
-                            : Long.parseLong(epochKeyValue.get().value().toStringUtf8());
+            epoch = stored.isEmpty() ? 0 : Long.parseLong(stored.get().value().toStringUtf8());
         } catch (NumberFormatException e) {
             mEvents.record(EventCode.RECORD_UNREADABLE, "", "key=" + StoreKeys.EPOCH);
             scheduleRetry();
             return;
         }
-        long requestedAtMs = mClock.monotonicMs();
-        mExecutor.whenComplete(
-                mStore.grantLease(Math.max(LEASE_MS, mSettings.minStoreLeaseMs())),
-                (leaseId, e) -> {
-                    if (e != null) {
-                        scheduleRetry();
-                    } else {
-                        commitOwnership(
-                                epoch + 1,
-                                epochKeyValue.map(KeyValue::revision).orElse(0L),
-                                leaseId,
-                                requestedAtMs);
-                    }
-                });
+        commitOwnership(
+                epoch + 1,
+                stored.map(KeyValue::revision).orElse(0L),
+                candidacy.leaseId,
+                requestedAtMs);
     }
 
     private void commitOwnership(long epoch, long epochRevision, long leaseId, long requestedAtMs) {
@@ -269,13 +303,18 @@
     }
 
     private final class OwnerKeyListener implements PrefixWatch.Listener {
+        @Override
+        public void onUpToDate(long revision) {
+            mReportedOwner = Optional.empty();
+        }
+
         @Override
         public void onSnapshot(List<KeyValue> keyValues) {
             mOwnerKeyRead = true;
             if (keyValues.isEmpty()) {
                 onDelete(StoreKeys.OWNER);
             } else {
-                keyValues.forEach(this::onPut);
+                PrefixWatch.forEach(keyValues, this::onPut);
             }
         }
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
@@ -8,6 +8,7 @@
 import org.lycheeroad.scheduler.config.ConfigCache;
 import org.lycheeroad.scheduler.log.EventRecorder;
 import org.lycheeroad.scheduler.log.NodeMetrics;
+import org.lycheeroad.scheduler.peer.PeerClient;
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.PlacementPolicy;
@@ -20,11 +21,18 @@
 
 /** Takes part in the election of the owner, and schedules while this VM is owner. */
 public final class OwnerService {
+    /**
+     * How long the store has to be unavailable before the ownership is handed over: longer than a
+     * few refused calls, and well below the lease.
+     */
+    private static final long HANDOVER_DELAY_MS = 250;
+
     private final MetadataStore mStore;
     private final WorkerGateway mGateway;
     private final PlacementPolicy mPolicy;
     private final PlatformSchema mSchema;
     private final ConfigCache mConfigCache;
+    private final PeerClient mPeers;
     private final NodeSettings mSettings;
     private final Clock mClock;
     private final EventRecorder mEvents;
@@ -40,6 +48,7 @@
             PlacementPolicy policy,
             PlatformSchema schema,
             ConfigCache config,
+            PeerClient peers,
             NodeSettings settings,
             Clock clock,
             EventRecorder events,
@@ -50,6 +59,7 @@
         mPolicy = policy;
         mSchema = schema;
         mConfigCache = config;
+        mPeers = peers;
         mSettings = settings;
         mClock = clock;
         mEvents = events;
@@ -73,12 +83,39 @@
         mExecutor.stop();
     }
 
+    /** Returns the newest owner that this daemon knows. */
+    public Optional<OwnerRecord> owner() {
+        return mElection.owner();
+    }
+
+    /**
+     * Handles the unavailability of the store from this VM: learns the owner from other daemons,
+     * since its key cannot be watched, or gives up the ownership if another daemon reaches the
+     * store.
+     */
+    public void onStoreUnavailable(long failingForMs) {
+        if (mIsOwner) {
+            if (failingForMs >= HANDOVER_DELAY_MS) {
+                mPeers.findPeerWithStore()
+                        .thenAccept(peer -> peer.ifPresent(this::handOverThrough));
+            }
+        } else {
+            mPeers.fetchOwner().thenAccept(owner -> owner.ifPresent(mElection::onOwnerReported));
+        }
+    }
+
+    /** Ends the term, and then has a peer revoke its lease, so that another VM is elected. */
+    private void handOverThrough(HostPort peer) {
+        mExecutor.execute(
+                () ->
+                        mElection
+                                .endTermWithoutStore()
+                                .ifPresent(lease -> mPeers.revokeLeaseThrough(peer, lease)));
+    }
+
     /** Returns the address of the owner, or empty if it is unknown or this VM. */
     public Optional<HostPort> remoteOwnerAddress() {
-        return mElection
-                .owner()
-                .filter(owner -> !mElection.isThisProcess(owner))
-                .map(OwnerRecord::peer);
+        return owner().filter(owner -> !mElection.isThisProcess(owner)).map(OwnerRecord::peer);
     }
 
     /** Returns whether an owner is known. */
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -53,7 +53,8 @@
      */
     private static final long TICK_MS = 100;
 
-    private static final long LONG_POLL_MS = 10_000;
+    /** Bounds how long a new job stays unnoticed if a watch connection has silently failed. */
+    private static final long LONG_POLL_MS = 1_500;
 
     /** Interval between deletions of old records; with 10 jobs each, suffices for 5 jobs/s. */
     private static final long CLEANUP_INTERVAL_MS = 2_000;
@@ -85,7 +86,9 @@
     private final List<PrefixWatch> mWatches = new ArrayList<>();
     private boolean mJobsLoaded;
     private boolean mStopped;
+    private final PassPacer mPassPacer = new PassPacer();
     private boolean mSaveTimerSet;
+    private boolean mPassScheduled;
     private long mConfigVersion = -1;
 
     /** The time after which all leases that earlier owners may have granted have expired. */
@@ -159,6 +162,12 @@
         if (!mJobsLoaded || mStopped) {
             return;
         }
+        long startedAtMs = mClock.monotonicMs();
+        long delayMs = mPassPacer.delayMs(startedAtMs);
+        if (delayMs > 0) {
+            schedulePass(delayMs);
+            return;
+        }
         applyNewestConfig();
         if (mConfigVersion < 0 || !mTerm.isLeaseValid()) {
             return;
@@ -181,6 +190,15 @@
                     });
         }
         mWorkerSessions.values().forEach(WorkerSession::pollIfDue);
+        mPassPacer.onPass(startedAtMs, mClock.monotonicMs());
+    }
+
+    /** Wakes the executor up for a pass, which runs when its queue is empty. */
+    private void schedulePass(long delayMs) {
+        if (!mPassScheduled) {
+            mPassScheduled = true;
+            mExecutor.schedule(delayMs, () -> mPassScheduled = false);
+        }
     }
 
     /**
@@ -289,7 +307,7 @@
                         mExecutor.schedule(SAVE_DELAY_MS, () -> loadProgress(afterKey));
                         return;
                     }
-                    page.keyValues().forEach(this::loadProgressRecord);
+                    PrefixWatch.forEach(page.keyValues(), this::loadProgressRecord);
                     if (page.hasMore() && !page.keyValues().isEmpty()) {
                         loadProgress(page.keyValues().get(page.keyValues().size() - 1).key());
                     } else {
@@ -345,6 +363,7 @@
     }
 
     private void recordUnreadableValue(String key, String reason) {
+        mMetrics.countUnreadableRecord();
         mEvents.record(EventCode.RECORD_UNREADABLE, "", "key=" + key + " reason=\"" + reason + '"');
     }
 
@@ -370,10 +389,12 @@
     private final class IntakeListener implements PrefixWatch.Listener {
         @Override
         public void onSnapshot(List<KeyValue> keyValues) {
-            keyValues.stream()
-                    .filter(kv -> StoreKeys.isCancellationKey(kv.key()))
-                    .forEach(this::onPut);
-            keyValues.stream().filter(kv -> StoreKeys.isJobKey(kv.key())).forEach(this::onPut);
+            PrefixWatch.forEach(
+                    keyValues.stream().filter(kv -> StoreKeys.isCancellationKey(kv.key())).toList(),
+                    this::onPut);
+            PrefixWatch.forEach(
+                    keyValues.stream().filter(kv -> StoreKeys.isJobKey(kv.key())).toList(),
+                    this::onPut);
             if (!mJobsLoaded) {
                 mJobsLoaded = true;
                 mEvents.record(
@@ -414,10 +435,8 @@
         @Override
         public void onSnapshot(List<KeyValue> keyValues) {
             Set<String> keys = new HashSet<>();
-            for (KeyValue keyValue : keyValues) {
-                keys.add(keyValue.key());
-                onPut(keyValue);
-            }
+            keyValues.forEach(keyValue -> keys.add(keyValue.key()));
+            PrefixWatch.forEach(keyValues, this::onPut);
             for (WorkerId id : mWorkerSessions.keySet()) {
                 if (!keys.contains(mSchema.workerKeyPrefix() + id)) {
                     mScheduler.onWorkerUnregistered(id);
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -44,9 +44,9 @@
     private static final double MAX_CLOCK_SLOWNESS_FACTOR = 1.02;
 
     /**
-     * The lease on a draining worker; long enough for some polls. It is shorter than usual because
-     * the worker does not report when it has left, and its tasks can be started elsewhere only
-     * after the lease has expired.
+     * How long the lease on a draining worker lasts beyond its earliest departure; long enough for
+     * some polls. It is shorter than usual because the worker does not report when it has left, and
+     * its tasks can be started elsewhere only after the lease has expired.
      */
     private static final long DRAINING_LEASE_MS = 2_500;
 
@@ -64,6 +64,10 @@
     private final Runnable mOnFenced;
 
     private WorkerStatus mEntry;
+
+    /** The earliest time at which a draining worker leaves; MAX_VALUE if it does not drain. */
+    private long mLeavesAtMs;
+
     private boolean mStopped;
     private boolean mPollInFlight;
     private boolean mUnreachable;
@@ -110,6 +114,7 @@
         mEvents = events;
         mMetrics = metrics;
         mOnFenced = onFenced;
+        mLeavesAtMs = earliestDepartureMs(entry);
         // An earlier owner may have extended the lease until the end of its term.
         mLeasesExpiredAtMs = latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs());
     }
@@ -122,9 +127,17 @@
         if (entry.incarnationStartMs() != mEntry.incarnationStartMs()) {
             mWorkerClockKnown = false;
         }
+        // A repeated read returns the same entry again, whose remaining time has partly passed.
+        if (!entry.equals(mEntry)) {
+            mLeavesAtMs = earliestDepartureMs(entry);
+        }
         mEntry = entry;
     }
 
+    private long earliestDepartureMs(WorkerStatus entry) {
+        return entry.draining() ? mClock.monotonicMs() + entry.remainingMs() : Long.MAX_VALUE;
+    }
+
     void stop() {
         mStopped = true;
     }
@@ -365,7 +378,11 @@
 
     private long leaseMs() {
         long maxLeaseMs = mSettings.maxWorkerLeaseMs();
-        return mEntry.draining() ? Math.min(maxLeaseMs, DRAINING_LEASE_MS) : maxLeaseMs;
+        if (!mEntry.draining()) {
+            return maxLeaseMs;
+        }
+        long staysMs = Math.max(0, mLeavesAtMs - mClock.monotonicMs());
+        return Math.min(maxLeaseMs, staysMs + DRAINING_LEASE_MS);
     }
 
     private void scheduleWakeUp(long delayMs) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
@@ -4,23 +4,28 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
 import org.lycheeroad.scheduler.config.Gzip;
 import org.lycheeroad.scheduler.intake.StoreOutcome;
+import org.lycheeroad.scheduler.owner.OwnerRecord;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.transport.http.BufferedHttpResponse;
+import org.lycheeroad.transport.http.HttpCallException;
 import org.lycheeroad.transport.http.HttpClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,6 +35,9 @@
     static final String JOBS_PATH = "/v1/jobs/";
     static final String PENDING_PATH = "/v1/pending/";
     static final String CONFIG_PATH = "/v1/config";
+    static final String OWNER_PATH = "/v1/owner";
+    static final String STORE_PATH = "/v1/store";
+    static final String LEASES_PATH = "/v1/leases/";
     static final String AFTER_PARAMETER = "after";
     static final int OK = 200;
     static final int NO_CONTENT = 204;
@@ -38,6 +46,9 @@
     /** About ten times the network latency between regions. */
     private static final long TIMEOUT_MS = 700;
 
+    /** The most seed peers that a write is relayed through, after the owner. */
+    private static final int MAX_RELAYS = 2;
+
     private static final Logger LOG = LoggerFactory.getLogger(PeerClient.class);
     private static final byte[] EMPTY_BODY = {};
 
@@ -45,6 +56,7 @@
     private final HostPort mOwnAddress;
     private final Supplier<Optional<HostPort>> mRemoteOwner;
     private final List<HostPort> mSeedPeers;
+    private final AtomicInteger mNextSeed = new AtomicInteger();
 
     /**
      * Creates a client.
@@ -65,18 +77,13 @@
         mSeedPeers = List.copyOf(seedPeers);
     }
 
-    /** Returns whether another daemon is known to be the owner. */
-    public boolean hasRemoteOwner() {
-        return mRemoteOwner.get().isPresent();
-    }
-
     /** Fetches a job's state from the owner; empty if it does not respond or know the job. */
     public CompletableFuture<Optional<WorkState>> fetchState(JobId id) {
         return callOwner("GET", JOBS_PATH + id, EMPTY_BODY)
                 .thenApply(
                         response ->
                                 response.filter(r -> r.status() == OK)
-                                        .map(r -> WorkState.valueOf(r.text())));
+                                        .flatMap(r -> parse(r.text(), WorkState::valueOf)));
     }
 
     /** Fetches the number of a queue's jobs that have not started; empty if unavailable. */
@@ -85,18 +92,128 @@
                 .thenApply(
                         response ->
                                 response.filter(r -> r.status() == OK)
-                                        .map(r -> Integer.parseInt(r.text())));
+                                        .flatMap(r -> parse(r.text(), Integer::valueOf)));
     }
 
-    /** Asks the owner to write an accepted job to the store. */
-    public CompletableFuture<StoreOutcome> acceptViaOwner(JobId id, JobRecord record) {
+    /** Asks the owner, or else seed peers, to write an accepted job to the store. */
+    public CompletableFuture<StoreOutcome> acceptViaPeers(JobId id, JobRecord record) {
         byte[] body = Json.write(record).getBytes(StandardCharsets.UTF_8);
-        return callOwner("PUT", JOBS_PATH + id, body).thenApply(PeerClient::parseOutcome);
+        return relay(relays(), "PUT", JOBS_PATH + id, body, StoreOutcome.REFUSED);
+    }
+
+    /** Asks the owner, or else seed peers, to write a cancellation to the store. */
+    public CompletableFuture<StoreOutcome> cancelViaPeers(JobId id) {
+        return relay(relays(), "DELETE", JOBS_PATH + id, EMPTY_BODY, StoreOutcome.REFUSED);
+    }
+
+    /** Asks the seed peers which owner they know; returns the newest one. */
+    public CompletableFuture<Optional<OwnerRecord>> fetchOwner() {
+        List<CompletableFuture<Optional<OwnerRecord>>> calls = new ArrayList<>();
+        for (HostPort peer : mSeedPeers) {
+            if (!peer.equals(mOwnAddress)) {
+                calls.add(
+                        call(peer, "GET", OWNER_PATH, EMPTY_BODY)
+                                .thenApply(
+                                        reply ->
+                                                reply.response()
+                                                        .filter(r -> r.status() == OK)
+                                                        .flatMap(PeerClient::parseOwner)));
+            }
+        }
+        return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+                .thenApply(
+                        unused ->
+                                calls.stream()
+                                        .flatMap(call -> call.join().stream())
+                                        .max(Comparator.comparingLong(OwnerRecord::epoch)));
     }
 
-    /** Asks the owner to write a cancellation to the store. */
-    public CompletableFuture<StoreOutcome> cancelViaOwner(JobId id) {
-        return callOwner("DELETE", JOBS_PATH + id, EMPTY_BODY).thenApply(PeerClient::parseOutcome);
+    /** Returns the first seed peer that has reached the store just now, if there is one. */
+    public CompletableFuture<Optional<HostPort>> findPeerWithStore() {
+        CompletableFuture<Optional<HostPort>> found = new CompletableFuture<>();
+        List<CompletableFuture<?>> calls = new ArrayList<>();
+        for (HostPort peer : mSeedPeers) {
+            if (!peer.equals(mOwnAddress)) {
+                calls.add(
+                        call(peer, "GET", STORE_PATH, EMPTY_BODY)
+                                .thenAccept(
+                                        reply ->
+                                                reply.response()
+                                                        .filter(r -> r.status() == OK)
+                                                        .ifPresent(
+                                                                r ->
+                                                                        found.complete(
+                                                                                Optional.of(
+                                                                                        peer)))));
+            }
+        }
+        CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
+                .thenRun(() -> found.complete(Optional.empty()));
+        return found;
+    }
+
+    /** Asks a peer to revoke a lease in the store. */
+    public void revokeLeaseThrough(HostPort peer, long leaseId) {
+        call(peer, "DELETE", LEASES_PATH + leaseId, EMPTY_BODY)
+                .thenAccept(
+                        reply ->
+                                LOG.info(
+                                        "Peer {} was asked to revoke lease {}: {}",
+                                        peer,
+                                        leaseId,
+                                        reply.response().map(r -> "status " + r.status())));
+    }
+
+    private static Optional<OwnerRecord> parseOwner(BufferedHttpResponse response) {
+        try {
+            return Optional.of(Json.read(response.text(), OwnerRecord.class));
+        } catch (JsonException e) {
+            LOG.warn("Cannot parse the owner that a peer sent", e);
+            return Optional.empty();
+        }
+    }
+
+    /** Returns the peers to relay a write through: the owner and some seeds, in changing order. */
+    private List<HostPort> relays() {
+        Set<HostPort> relays = new LinkedHashSet<>();
+        mRemoteOwner.get().ifPresent(relays::add);
+        int first = mSeedPeers.isEmpty() ? 0 : mNextSeed.getAndIncrement();
+        for (int i = 0; i < mSeedPeers.size() && relays.size() <= MAX_RELAYS; i++) {
+            relays.add(mSeedPeers.get(Math.floorMod(first + i, mSeedPeers.size())));
+        }
+        relays.remove(mOwnAddress);
+        return List.copyOf(relays);
+    }
+
+    /**
+     * Sends a write to one peer after the other until its outcome is definite. A repeated write has
+     * no further effect.
+     *
+     * @param outcomeSoFar UNKNOWN if a peer may already have written, otherwise REFUSED
+     */
+    private CompletableFuture<StoreOutcome> relay(
+            List<HostPort> relays,
+            String method,
+            String path,
+            byte[] body,
+            StoreOutcome outcomeSoFar) {
+        if (relays.isEmpty()) {
+            return CompletableFuture.completedFuture(outcomeSoFar);
+        }
+        return call(relays.get(0), method, path, body)
+                .thenCompose(
+                        reply -> {
+                            StoreOutcome outcome = parseOutcome(reply);
+                            if (outcome == StoreOutcome.STORED || outcome == StoreOutcome.NO_JOB) {
+                                return CompletableFuture.completedFuture(outcome);
+                            }
+                            return relay(
+                                    relays.subList(1, relays.size()),
+                                    method,
+                                    path,
+                                    body,
+                                    outcome == StoreOutcome.UNKNOWN ? outcome : outcomeSoFar);
+                        });
     }
 
     /**
@@ -118,9 +235,9 @@
                                     CONFIG_PATH + "?" + AFTER_PARAMETER + "=" + version,
                                     EMPTY_BODY)
                             .thenAccept(
-                                    response -> {
+                                    reply -> {
                                         synchronized (configs) {
-                                            response.ifPresent(r -> addConfig(r, configs));
+                                            reply.response().ifPresent(r -> addConfig(r, configs));
                                         }
                                     }));
         }
@@ -151,23 +268,48 @@
         Optional<HostPort> owner = mRemoteOwner.get();
         return owner.isEmpty()
                 ? CompletableFuture.completedFuture(Optional.empty())
-                : call(owner.get(), method, path, body);
+                : call(owner.get(), method, path, body).thenApply(Reply::response);
     }
 
-    /** Sends a request; the result is empty if the peer did not respond in time. */
-    private CompletableFuture<Optional<BufferedHttpResponse>> call(
-            HostPort peer, String method, String path, byte[] body) {
+    /**
+     * The result of a request.
+     *
+     * @param response empty if the peer did not respond in time
+     * @param sent whether the request may have reached the peer
+     */
+    private record Reply(Optional<BufferedHttpResponse> response, boolean sent) {}
+
+    private CompletableFuture<Reply> call(HostPort peer, String method, String path, byte[] body) {
         return mHttp.call(peer, method, path, Map.of(), body, TIMEOUT_MS)
-                .handle((response, e) -> Optional.ofNullable(response));
+                .handle(
+                        (response, e) ->
+                                new Reply(
+                                        Optional.ofNullable(response),
+                                        !(e instanceof HttpCallException failure
+                                                && failure.kind()
+                                                        == HttpCallException.Kind.NOT_SENT)));
+    }
+
+    /** Parses the text of a response; one that cannot be parsed counts as no response. */
+    private static <T> Optional<T> parse(String text, Function<String, T> parser) {
+        try {
+            return Optional.of(parser.apply(text));
+        } catch (IllegalArgumentException e) {
+            LOG.warn("Cannot parse the response \"{}\" of a peer", text, e);
+            return Optional.empty();
+        }
     }
 
     /** Returns the outcome of a write; a write without a response may have been applied. */
-    private static StoreOutcome parseOutcome(Optional<BufferedHttpResponse> response) {
-        if (response.isEmpty() || response.get().status() != OK) {
+    private static StoreOutcome parseOutcome(Reply reply) {
+        if (!reply.sent()) {
+            return StoreOutcome.REFUSED;
+        }
+        if (reply.response().isEmpty() || reply.response().get().status() != OK) {
             return StoreOutcome.UNKNOWN;
         }
         try {
-            return Json.read(response.get().text(), StoreOutcome.class);
+            return Json.read(reply.response().get().text(), StoreOutcome.class);
         } catch (JsonException e) {
             return StoreOutcome.UNKNOWN;
         }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
@@ -6,9 +6,11 @@
 import java.util.Optional;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
+import org.lycheeroad.scheduler.StoreKeys;
 import org.lycheeroad.scheduler.config.ConfigCache;
 import org.lycheeroad.scheduler.intake.JobStore;
 import org.lycheeroad.scheduler.owner.OwnerService;
+import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.QueueName;
@@ -18,15 +20,18 @@
 /** Serves the requests of {@link PeerClient}. */
 public final class PeerServer implements HttpHandler {
     private static final int BAD_REQUEST = 400;
+    private static final int SERVICE_UNAVAILABLE = 503;
 
     private final ConfigCache mConfigCache;
     private final OwnerService mOwnerService;
     private final JobStore mJobStore;
+    private final MetadataStore mStore;
 
-    public PeerServer(ConfigCache config, OwnerService owner, JobStore jobs) {
+    public PeerServer(ConfigCache config, OwnerService owner, JobStore jobs, MetadataStore store) {
         mConfigCache = config;
         mOwnerService = owner;
         mJobStore = jobs;
+        mStore = store;
     }
 
     @Override
@@ -34,6 +39,14 @@
         String path = call.path();
         if (path.equals(PeerClient.CONFIG_PATH)) {
             handleConfig(call);
+        } else if (path.equals(PeerClient.OWNER_PATH)) {
+            respond(call, mOwnerService.owner().map(Json::write));
+        } else if (path.equals(PeerClient.STORE_PATH)) {
+            // A call of its own shows whether this daemon reaches the store at present.
+            mStore.read(StoreKeys.EPOCH)
+                    .whenComplete((epoch, e) -> respondStoreOutcome(call, e == null));
+        } else if (path.startsWith(PeerClient.LEASES_PATH)) {
+            handleLease(call, path.substring(PeerClient.LEASES_PATH.length()));
         } else if (path.startsWith(PeerClient.PENDING_PATH)) {
             QueueName queue = new QueueName(path.substring(PeerClient.PENDING_PATH.length()));
             mOwnerService
@@ -46,6 +59,30 @@
         }
     }
 
+    /** Revokes a lease for a daemon that does not reach the store. */
+    private void handleLease(HttpCall call, String name) {
+        long leaseId;
+        try {
+            leaseId = Long.parseLong(name);
+        } catch (NumberFormatException e) {
+            respondText(call, BAD_REQUEST, "\"" + name + "\" is not a lease");
+            return;
+        }
+        if (!call.method().equals("DELETE")) {
+            respondText(call, BAD_REQUEST, "method " + call.method() + " is not known");
+            return;
+        }
+        mStore.revokeLease(leaseId)
+                .whenComplete((revoked, e) -> respondStoreOutcome(call, e == null));
+    }
+
+    private static void respondStoreOutcome(HttpCall call, boolean answered) {
+        respondText(
+                call,
+                answered ? PeerClient.OK : SERVICE_UNAVAILABLE,
+                answered ? "store answers" : "store does not answer");
+    }
+
     private void handleConfig(HttpCall call) {
         long afterVersion;
         try {
--- a/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
@@ -32,10 +32,18 @@
     private static final class ActiveRun {
         private final String mTask;
         private final int mAttempt;
+        private final long mStartedAtMs;
+        private final long mDurationMs;
 
-        ActiveRun(String task, int attempt) {
+        ActiveRun(String task, int attempt, long startedAtMs, long durationMs) {
             mTask = task;
             mAttempt = attempt;
+            mStartedAtMs = startedAtMs;
+            mDurationMs = durationMs;
+        }
+
+        int percent(long nowMs) {
+            return (int) Math.min(99, 100 * (nowMs - mStartedAtMs) / Math.max(1, mDurationMs));
         }
     }
 
@@ -58,6 +66,7 @@
     private final List<PendingPoll> mPendingPolls = new ArrayList<>();
     private final long mClockBaseNanos = System.nanoTime();
     private long mLastFinishedNumber;
+    private int mStartedRuns;
     private long mFencingToken;
     private long mLeaseExpiryMs;
     private volatile boolean mUnresponsive;
@@ -101,6 +110,11 @@
         mUnresponsive = unresponsive;
     }
 
+    /** Returns how many runs this executor has started. */
+    public synchronized int startedRuns() {
+        return mStartedRuns;
+    }
+
     /** Returns the registration record that the executor writes to the store. */
     public String registration(String service, String state) {
         ObjectNode record = mMapper.createObjectNode();
@@ -167,16 +181,17 @@
             return;
         }
         mLeaseExpiryMs = Math.max(mLeaseExpiryMs, expiresMs);
-        ActiveRun run = new ActiveRun(task, attempt);
+        ActiveRun run = new ActiveRun(task, attempt, clockMs(), durationMs(spec));
         mActiveRuns.put(task, run);
         mHighestAttempts.put(task, attempt);
+        mStartedRuns++;
         mRecorder.onStart(task);
         String outcome = spec.contains("fail") ? "failed" : "done";
         mEventLoops
                 .next()
                 .schedule(
                         () -> finishAfterDuration(run, outcome),
-                        durationMs(spec),
+                        run.mDurationMs,
                         TimeUnit.MILLISECONDS);
         call.respondJson(200, clockJson().toString());
     }
@@ -255,7 +270,13 @@
         body.put("born", mStartTimeMs);
         ArrayNode runningArray = body.putArray("running");
         for (ActiveRun run : mActiveRuns.values()) {
-            runningArray.addArray().add(run.mTask).add(run.mAttempt).add("").add(50).add(0);
+            runningArray
+                    .addArray()
+                    .add(run.mTask)
+                    .add(run.mAttempt)
+                    .add("")
+                    .add(run.percent(clockMs()))
+                    .add(0);
         }
         ArrayNode finishedArray = body.putArray("finished");
         for (FinishedRun finishedRun : mFinishedRuns) {
--- a/standins/src/main/java/org/lycheeroad/standins/platform/KeyValueState.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/KeyValueState.java
@@ -54,6 +54,12 @@
         return mValues.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
     }
 
+    /** Returns the Base64-encoded value of a key, or an empty string if it does not exist. */
+    String value(String key) {
+        StoredValue stored = mValues.get(key);
+        return stored == null ? "" : stored.value;
+    }
+
     Response read(String key) {
         StoredValue stored = mValues.get(key);
         return stored == null
--- a/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
@@ -37,6 +37,7 @@
     private final List<ExecutorServer> mExecutors = new ArrayList<>();
     private final ObjectMapper mMapper = new ObjectMapper();
     private long mNextConfigVersion = 1;
+    private final List<StoreAccess> mStoreAccesses = new ArrayList<>();
     private int mStatusRetentionSeconds = 120;
 
     public PlatformStandIn(EventLoopGroup eventLoops) {
@@ -52,23 +53,30 @@
         mStore.start();
         mAdvice.start();
         for (int i = 0; i < executors; i++) {
-            ExecutorServer executor =
-                    new ExecutorServer(
-                            "i-" + i,
-                            "r1-" + i / EXECUTORS_PER_RACK,
-                            loopbackAnyPort(),
-                            mEventLoops,
-                            mRecorder);
-            executor.start();
-            mExecutors.add(executor);
-            mStore.write("servers/" + executor.id(), executor.registration(SERVICE, "ready"));
+            addExecutor();
         }
         writeConfig(API_KEY);
     }
 
+    /** Starts one more executor and registers it in the store. */
+    public void addExecutor() throws IOException {
+        int number = mExecutors.size();
+        ExecutorServer executor =
+                new ExecutorServer(
+                        "i-" + number,
+                        "r1-" + number / EXECUTORS_PER_RACK,
+                        loopbackAnyPort(),
+                        mEventLoops,
+                        mRecorder);
+        executor.start();
+        mExecutors.add(executor);
+        mStore.write("servers/" + executor.id(), executor.registration(SERVICE, "ready"));
+    }
+
     /** Stops all servers. */
     public void stop() {
         mExecutors.forEach(ExecutorServer::stop);
+        mStoreAccesses.forEach(StoreAccess::stop);
         mAdvice.stop();
         mStore.stop();
     }
@@ -118,19 +126,47 @@
         return mRecorder;
     }
 
+    /** Opens an address at which one VM reaches the store. */
+    public StoreAccess addStoreAccess() throws IOException {
+        StoreAccess access = new StoreAccess(mStore, loopbackAnyPort(), mEventLoops);
+        access.start();
+        mStoreAccesses.add(access);
+        return access;
+    }
+
     /**
-     * Returns the settings file of the daemon on one VM; {@code graceS} is its shutdown grace
-     * period in seconds.
+     * Returns the settings file of the daemon on one VM, which is its own seed and reaches the
+     * store directly; {@code graceS} is its shutdown grace period in seconds.
      */
     public byte[] daemonSettings(
             String name, int frontPort, int readyPort, int controlPort, int graceS) {
+        return daemonSettings(
+                name,
+                frontPort,
+                readyPort,
+                controlPort,
+                graceS,
+                mStore.address(),
+                List.of(controlPort));
+    }
+
+    /** Returns the settings file of the daemon on one VM with the control ports of its seeds. */
+    public byte[] daemonSettings(
+            String name,
+            int frontPort,
+            int readyPort,
+            int controlPort,
+            int graceS,
+            HostPort store,
+            List<Integer> seedPorts) {
         ObjectNode settings = mMapper.createObjectNode().put("node_name", name);
         settings.put("zone", "z1").put("region", "r1");
         settings.putObject("listen")
                 .put("front", "127.0.0.1:" + frontPort)
                 .put("ready", "127.0.0.1:" + readyPort)
                 .put("control", "127.0.0.1:" + controlPort);
-        settings.putArray("seeds").add("127.0.0.1:" + controlPort);
+        ArrayNode seeds = settings.putArray("seeds");
+        seedPorts.forEach(port -> seeds.add("127.0.0.1:" + port));
         settings.put("advice", mAdvice.address().toString());
         settings.putObject("bounds")
                 .put("hold_max_ms", 6_000)
@@ -140,9 +176,7 @@
                 .put("status_s", mStatusRetentionSeconds)
                 .put("config_apply_ms", 3_000)
                 .put("grace_s", graceS);
-        settings.putObject("platform")
-                .put("address", mStore.address().toString())
-                .put("ttl_min_ms", 1_000);
+        settings.putObject("platform").put("address", store.toString()).put("ttl_min_ms", 1_000);
         return settings.toString().getBytes(StandardCharsets.UTF_8);
     }
 
--- a/standins/src/main/java/org/lycheeroad/standins/platform/StoreServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/StoreServer.java
@@ -43,6 +43,7 @@
     private final List<PendingWatch> mPendingWatches = new ArrayList<>();
     private ScheduledFuture<?> mLeaseCheck;
     private volatile Mode mMode = Mode.SERVING;
+    private volatile boolean mLeasesPaused;
 
     public StoreServer(HostPort listen, EventLoopGroup eventLoops) {
         mEventLoops = eventLoops;
@@ -85,6 +86,11 @@
         return mState.keys(prefix);
     }
 
+    /** Returns the text of a key, or an empty string if it does not exist. */
+    public synchronized String read(String key) {
+        return new String(Base64.getDecoder().decode(mState.value(key)), StandardCharsets.UTF_8);
+    }
+
     /**
      * Writes a key without a lease or an expected revision, as the operator or an executor does.
      */
@@ -110,7 +116,15 @@
         mPendingWatches.clear();
     }
 
+    /** Sets whether leases last until they are ended, as they may while a store is unavailable. */
+    public void setLeasesPaused(boolean paused) {
+        mLeasesPaused = paused;
+    }
+
     private synchronized void expireLeases() {
+        if (mLeasesPaused) {
+            return;
+        }
         long revisionBefore = mState.revision();
         mState.expireLeases(monotonicMs());
         if (mState.revision() != revisionBefore) {
@@ -118,7 +132,7 @@
         }
     }
 
-    private synchronized void handle(HttpCall call) {
+    synchronized void handle(HttpCall call) {
         if (mMode == Mode.BUSY) {
             call.respondJson(503, "{}");
             return;
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -4,6 +4,7 @@
 import static org.lycheeroad.systemtests.platform.PlatformFixture.await;
 import static org.lycheeroad.systemtests.platform.PlatformFixture.jobId;
 
+import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.standins.platform.PlatformStandIn;
@@ -133,6 +134,61 @@
         }
     }
 
+    @Nested
+    class InvalidWorkerEntries {
+        private static final String ENTRY =
+                "{\"service\":\"render\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
+                        + "\"capacity\":{\"cpu\":16000,\"mem_mb\":1000,\"gpu\":8},"
+                        + "\"labels\":[\"a\",\"r9\"],\"born\":1,\"seq\":1}";
+
+        private static final List<String> INVALID_ENTRIES =
+                List.of(
+                        "[".repeat(100_000),
+                        "{\"a\":".repeat(5_000) + "1" + "}".repeat(5_000),
+                        ENTRY.replace("16000", "99999999999"),
+                        ENTRY.replace("16000", "1" + "0".repeat(500)),
+                        ENTRY.replace("16000", "-5"),
+                        ENTRY.replace("127.0.0.1:9", "127.0.0.1:70000"),
+                        ENTRY.replace("127.0.0.1:9", "127.0.0.1:0"),
+                        ENTRY.replace("127.0.0.1:9", "127.0.0.1:http"),
+                        ENTRY.replace("127.0.0.1:9", "some-host:80"),
+                        ENTRY.substring(0, ENTRY.length() / 2),
+                        ENTRY.replace("\"born\":1", "\"born\":1e400"));
+
+        /**
+         * Guards against an entry of another writer that ends the watch of the worker entries:
+         * workers that register later are then never used.
+         */
+        @Test
+        void workersThatRegisterLaterAreUsed() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 2)) {
+                for (int i = 0; i < INVALID_ENTRIES.size(); i++) {
+                    fixture.platform.store().write("servers/i-odd-" + i, INVALID_ENTRIES.get(i));
+                    fixture.platform.store().write("servers/\u00e4 " + i, INVALID_ENTRIES.get(i));
+                    fixture.platform.store().remove("servers/\u00e4 " + i);
+                }
+                fixture.platform.addExecutor();
+                // The gang needs the whole of both workers.
+                fixture.submit(0, jobId(1), "ms=50", GANG_PHASE);
+                fixture.awaitState(1, jobId(1), "completed");
+            }
+        }
+
+        /** Guards against a new owner that fails on the entries that it lists first. */
+        @Test
+        void newOwnerListsTheOtherWorkers() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(2, 2)) {
+                for (int i = 0; i < INVALID_ENTRIES.size(); i++) {
+                    fixture.platform.store().write("servers/a-odd-" + i, INVALID_ENTRIES.get(i));
+                }
+                int owner = fixture.awaitOwner();
+                fixture.daemons.get(owner).stopNow();
+                fixture.submit(1 - owner, jobId(1), "ms=50", GANG_PHASE);
+                fixture.awaitState(1 - owner, jobId(1), "completed");
+            }
+        }
+    }
+
     @Nested
     class Configuration {
         /** Guards against VMs that reject the new API key or keep accepting the old one. */
@@ -146,6 +202,18 @@
             }
         }
 
+        /** Guards against a restarted daemon that accepts a key that was withdrawn before. */
+        @Test
+        void withdrawnKeyStaysWithdrawnAfterARestart() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 2)) {
+                fixture.platform.writeConfig("key-2");
+                await("the old key is rejected", () -> fixture.get(1, "").status() == 401);
+                fixture.restart(1);
+                assertThat(fixture.get(1, "").status()).isEqualTo(401);
+                assertThat(fixture.call(1, "GET", "", "key-2", "").status()).isEqualTo(200);
+            }
+        }
+
         /** Guards against calls that are accepted with a key that no team has held. */
         @Test
         void unknownKeyIsRejected() throws Exception {
@@ -182,6 +250,44 @@
             }
         }
 
+        /**
+         * Guards against a VM that refuses all calls while the store turns it away, because it
+         * knows only the owner that was replaced meanwhile. Seen on a day with 47 VMs, of which the
+         * store turned 16 away for 9 s, the owner among them.
+         */
+        @Test
+        void vmThatTheStoreTurnsAwayServesThroughTheNewOwner() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 3)) {
+                int owner = fixture.awaitOwner();
+                int cutOff = (owner + 1) % 3;
+                fixture.storeAccesses.get(owner).setRefusing(true);
+                fixture.storeAccesses.get(cutOff).setRefusing(true);
+                await("another VM is elected", () -> fixture.awaitOwner() != owner);
+                await(
+                        "the job is accepted",
+                        () ->
+                                fixture.submit(cutOff, jobId(1), "ms=50", ONE_TASK_PHASE).status()
+                                        == 200);
+                fixture.awaitState(cutOff, jobId(1), "completed");
+                assertThat(fixture.cancel(cutOff, jobId(9)).status()).isEqualTo(410);
+            }
+        }
+
+        /** Guards against refusals by a VM that the store turns away while no owner is elected. */
+        @Test
+        void vmThatTheStoreTurnsAwayAcceptsThroughAnotherVm() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 3)) {
+                int owner = fixture.awaitOwner();
+                int cutOff = (owner + 1) % 3;
+                fixture.storeAccesses.get(cutOff).setRefusing(true);
+                fixture.storeAccesses.get(owner).setRefusing(true);
+                assertThat(fixture.submit(cutOff, jobId(1), "ms=50", ONE_TASK_PHASE).status())
+                        .isEqualTo(200);
+                fixture.awaitState(3 - owner - cutOff, jobId(1), "completed");
+                assertThat(fixture.platform.recorder().startCount()).isEqualTo(1);
+            }
+        }
+
         /** Guards against jobs that are lost or run twice when the store drops write responses. */
         @Test
         void writesWithLostResponsesAreNeitherLostNorRepeated() throws Exception {
@@ -223,18 +329,94 @@
         @Test
         void newOwnerContinuesRunningTasksWithoutRerun() throws Exception {
             try (PlatformFixture fixture = new PlatformFixture(2, 2)) {
-                fixture.submit(0, jobId(1), "ms=4000", FOUR_TASK_PHASE);
+                int owner = fixture.awaitOwner();
+                int other = 1 - owner;
+                String phase =
+                        FOUR_TASK_PHASE.replace("\"estimate_ms\":100", "\"estimate_ms\":4000");
+                fixture.submit(owner, jobId(1), "ms=4000", phase);
                 await("the job runs", () -> fixture.platform.recorder().startCount() == 4);
-                fixture.daemons.get(0).stopNow();
-                assertThat(fixture.submit(1, jobId(2), "ms=50", ONE_TASK_PHASE).status())
+                fixture.daemons.get(owner).stopNow();
+                assertThat(fixture.submit(other, jobId(2), "ms=50", ONE_TASK_PHASE).status())
                         .isEqualTo(200);
-                fixture.awaitState(1, jobId(2), "completed");
-                fixture.awaitState(1, jobId(1), "completed");
+                fixture.awaitState(other, jobId(2), "completed");
+                fixture.awaitState(other, jobId(1), "completed");
+                assertThat(fixture.awaitOwner()).isEqualTo(other);
                 assertThat(fixture.platform.recorder().startCount()).isEqualTo(5);
                 assertThat(fixture.platform.recorder().violations()).isEmpty();
             }
         }
 
+        /**
+         * Guards against an owner that keeps the ownership until its lease ends although the store
+         * turns only this VM away: no job starts meanwhile.
+         */
+        @Test
+        void ownerThatTheStoreTurnsAwayHandsOver() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(2, 3)) {
+                int owner = fixture.awaitOwner();
+                fixture.submit(owner, jobId(1), "ms=3000", ONE_TASK_PHASE);
+                await("the job runs", () -> fixture.platform.recorder().startCount() == 1);
+                fixture.platform.store().setLeasesPaused(true);
+                fixture.storeAccesses.get(owner).setRefusing(true);
+                await("another VM is elected", () -> fixture.awaitOwner() != owner);
+                fixture.awaitState((owner + 1) % 3, jobId(1), "completed");
+                assertThat(fixture.platform.recorder().startCount()).isEqualTo(1);
+                assertThat(fixture.platform.recorder().violations()).isEmpty();
+            }
+        }
+
+        /**
+         * Guards against an owner that gives its ownership up although no other VM reaches the
+         * store.
+         */
+        @Test
+        void ownerKeepsItsTermWhileTheStoreServesNobody() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 2)) {
+                int owner = fixture.awaitOwner();
+                String record = fixture.platform.store().read("lycheeroad/owner");
+                fixture.platform.store().setLeasesPaused(true);
+                fixture.platform.store().setMode(Mode.BUSY);
+                PlatformFixture.pause(1_500);
+                fixture.platform.store().setMode(Mode.SERVING);
+                await(
+                        "submissions are accepted again",
+                        () ->
+                                fixture.submit(owner, jobId(1), "ms=50", ONE_TASK_PHASE).status()
+                                        == 200);
+                fixture.awaitState(owner, jobId(1), "completed");
+                assertThat(fixture.platform.store().read("lycheeroad/owner")).isEqualTo(record);
+            }
+        }
+
+        /** Guards against a new owner that uses a worker that has left the directory. */
+        @Test
+        void newOwnerDoesNotUseAWorkerThatHasLeft() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(2, 2)) {
+                fixture.platform.store().remove("servers/i-0");
+                int owner = fixture.awaitOwner();
+                fixture.restart(owner);
+                fixture.submit(0, jobId(1), "ms=50", FOUR_TASK_PHASE);
+                fixture.awaitState(1, jobId(1), "completed");
+                assertThat(fixture.platform.executors().get(0).startedRuns()).isZero();
+            }
+        }
+
+        /** Guards against a second run of the work of a worker that was silent for two seconds. */
+        @Test
+        void workOfAWorkerThatWasSilentForAWhileContinues() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(2, 1)) {
+                String phase =
+                        ONE_TASK_PHASE.replace("\"estimate_ms\":100", "\"estimate_ms\":4000");
+                fixture.submit(0, jobId(1), "ms=4000", phase);
+                await("the job runs", () -> fixture.platform.recorder().startCount() == 1);
+                fixture.platform.executors().forEach(e -> e.setUnresponsive(true));
+                PlatformFixture.pause(2_000);
+                fixture.platform.executors().forEach(e -> e.setUnresponsive(false));
+                fixture.awaitState(0, jobId(1), "completed");
+                assertThat(fixture.platform.recorder().startCount()).isEqualTo(1);
+            }
+        }
+
         /**
          * Guards against tasks of a dead worker that never run again. Found by a randomized test
          * run on wentmont-sched, mix seed 919603474525.
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformFixture.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformFixture.java
@@ -11,8 +11,11 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.lycheeroad.platform.PlatformDaemon;
 import org.lycheeroad.standins.platform.PlatformStandIn;
+import org.lycheeroad.standins.platform.StoreAccess;
 import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.transport.http.BufferedHttpResponse;
 import org.lycheeroad.transport.http.HttpClient;
@@ -23,9 +26,15 @@
     private static final int PORTS_PER_DAEMON = 3;
     private static final int SHUTDOWN_GRACE_SECONDS = 1;
     private static final int DEFAULT_STATUS_RETENTION_SECONDS = 120;
+    private static final Pattern OWNER_NAME = Pattern.compile("\"vm-(\\d+)\"");
 
     public final PlatformStandIn platform;
     public final List<PlatformDaemon> daemons = new ArrayList<>();
+
+    /** The access of each daemon to the store, by the daemon's index. */
+    public final List<StoreAccess> storeAccesses = new ArrayList<>();
+
+    private final List<byte[]> mSettings = new ArrayList<>();
     private final EventLoopGroup mEventLoopGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final HttpClient mHttp = new HttpClient(mEventLoopGroup, TIMEOUT_MS, 1 << 20);
@@ -39,28 +48,62 @@
         platform = new PlatformStandIn(mEventLoopGroup);
         platform.setStatusRetentionSeconds(statusRetentionSeconds);
         platform.start(executorCount);
+        List<int[]> ports = new ArrayList<>();
+        for (int i = 0; i < vmCount; i++) {
+            ports.add(findFreePorts());
+        }
+        List<Integer> seedPorts = ports.stream().map(p -> p[2]).toList();
         for (int i = 0; i < vmCount; i++) {
-            int[] ports = findFreePorts();
-            PlatformDaemon daemon =
-                    new PlatformDaemon(
-                            platform.daemonSettings(
-                                    "vm-" + i,
-                                    ports[0],
-                                    ports[1],
-                                    ports[2],
-                                    SHUTDOWN_GRACE_SECONDS));
-            daemon.start();
-            daemons.add(daemon);
+            StoreAccess access = platform.addStoreAccess();
+            storeAccesses.add(access);
+            byte[] settings =
+                    platform.daemonSettings(
+                            "vm-" + i,
+                            ports.get(i)[0],
+                            ports.get(i)[1],
+                            ports.get(i)[2],
+                            SHUTDOWN_GRACE_SECONDS,
+                            access.address(),
+                            seedPorts);
+            mSettings.add(settings);
+            daemons.add(startDaemon(settings));
         }
         for (int i = 0; i < vmCount; i++) {
-            int vm = i;
-            await(
-                    "daemon " + vm + " is ready",
-                    () -> get(daemons.get(vm).readinessAddress(), "/readyz") == 200);
+            awaitReady(i);
         }
         await("the owner serves requests", () -> get(0, "").status() == 200);
     }
 
+    /** Stops a daemon and starts a new process life of it with the same settings. */
+    void restart(int vm) throws Exception {
+        daemons.get(vm).stopNow();
+        daemons.set(vm, startDaemon(mSettings.get(vm)));
+        awaitReady(vm);
+    }
+
+    private static PlatformDaemon startDaemon(byte[] settings) throws Exception {
+        PlatformDaemon daemon = new PlatformDaemon(settings);
+        daemon.start();
+        return daemon;
+    }
+
+    private void awaitReady(int vm) {
+        await(
+                "daemon " + vm + " is ready",
+                () -> get(daemons.get(vm).readinessAddress(), "/readyz") == 200);
+    }
+
+    /** Waits until a daemon is the owner and returns its index. */
+    int awaitOwner() {
+        await("an owner is elected", () -> ownerIndex() >= 0);
+        return ownerIndex();
+    }
+
+    private int ownerIndex() {
+        Matcher name = OWNER_NAME.matcher(platform.store().read("lycheeroad/owner"));
+        return name.find() ? Integer.parseInt(name.group(1)) : -1;
+    }
+
     @Override
     public void close() {
         daemons.forEach(PlatformDaemon::stopNow);
