Learn the speeds of workers, log slow ones, and check the store once more before a hand-over

The speed of a worker is the geometric mean of the speeds of its runs against their steps; urgent tasks count the time that they will take.

The model's workers now report the progress of the task, not of the estimate. Test: SlowWorkerTest.FastWorkers.

The owner now reads the store itself once more after the seed's answer.

Events 314 and 315 tell when a worker counts as slow.

--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
@@ -70,6 +70,12 @@
         /** When the execution began; -1 while a gang waits for its other members. */
         private long mBegunAtMs = -1;
 
+        /** The work that was done before the run, in milliseconds at nominal speed. */
+        private double mCheckpointedMs;
+
+        /** How many times longer the run takes because its gang spans racks. */
+        private double mSlowdown = 1;
+
         private boolean mEnded;
 
         SimulatedRun(RunRef ref, SimulatedJob job, SimulatedWorker worker, long startedAtMs) {
@@ -263,6 +269,8 @@
         double speed = Double.MAX_VALUE;
         for (SimulatedRun run : runs) {
             run.mBegunAtMs = mNowMs;
+            run.mCheckpointedMs = mCheckpointedMs.getOrDefault(job.id, 0.0);
+            run.mSlowdown = remote ? Deployment.REMOTE_FACTOR : 1;
             speed = Math.min(speed, run.mWorker.mSpeed);
         }
         if (job.allBegunAtMs < 0 && countBegunTasks(job) == job.step.count()) {
@@ -343,9 +351,7 @@
     private void reportRuns(SimulatedWorker worker) {
         List<ActiveRun> running = new ArrayList<>();
         for (SimulatedRun run : worker.mRuns.values()) {
-            long ranMs = run.mBegunAtMs < 0 ? 0 : mNowMs - run.mBegunAtMs;
-            long percent = Math.min(99, 100 * ranMs / run.mJob.step.estimateMs());
-            running.add(new ActiveRun(run.mRef, "", (int) percent, 0));
+            running.add(new ActiveRun(run.mRef, "", percent(run), 0));
         }
         WorkerId id = worker.mStatus.id();
         long acknowledged = mScheduler.acknowledgedEnd(id);
@@ -355,6 +361,19 @@
                 id, new WorkerRuns(mNowMs, WORKER_START_MS, running, endedRuns), mNowMs, mNowMs);
     }
 
+    /**
+     * Returns the percentage of a run's work that is done; a worker reports that of its own task.
+     */
+    private int percent(SimulatedRun run) {
+        if (run.mBegunAtMs < 0) {
+            return 0;
+        }
+        double doneMs =
+                run.mCheckpointedMs
+                        + (mNowMs - run.mBegunAtMs) * run.mWorker.mSpeed / run.mSlowdown;
+        return (int) Math.min(100, 100 * doneMs / run.mJob.taskDurationMs);
+    }
+
     private void tick() {
         if (mNowMs % REPORT_INTERVAL_MS == 0) {
             mWorkers.values().forEach(this::reportRuns);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -312,6 +312,12 @@
         return worker != null && worker.hasServingRuns() && worker.hasBestEffortRuns();
     }
 
+    /** Returns whether the progress of a worker's runs shows that it is much slower than usual. */
+    public boolean isSlow(WorkerId id) {
+        Worker worker = mState.workers.get(id);
+        return worker != null && worker.slow;
+    }
+
     /** Returns the workers that may have runs. */
     public List<WorkerId> workersWithRuns() {
         return mState.workers.keySet().stream().filter(this::mayHaveRuns).toList();
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -25,6 +25,12 @@
     /** The cost of a remaining gigabyte of memory, in remaining accelerators. */
     private static final double ACCELERATORS_PER_GB = 0.02;
 
+    /**
+     * The cost of the time that an urgent task takes, in remaining accelerators per duration at
+     * normal speed. Urgent jobs have little slack.
+     */
+    private static final double URGENT_TIME_COST = 20;
+
     /** Ranks workers on the rack of the data before other workers. */
     private static final double REMOTE_COST = 1_000;
 
@@ -304,6 +310,9 @@
         if (!dataRack.isEmpty() && !dataRack.equals(worker.entry.rack().value())) {
             cost += REMOTE_COST;
         }
+        if (step.job.queue.priority() == 0 && !step.plan.fills()) {
+            cost += URGENT_TIME_COST / worker.speed.value();
+        }
         if (nowMs - worker.lastHeartbeatAtMs > STALE_HEARTBEAT_MS) {
             cost += STALE_HEARTBEAT_COST;
         }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -31,6 +31,11 @@
      */
     private static final int QUARANTINE_FAILED_STEPS = 2;
 
+    /**
+     * The observed runs on other workers that a run is compared with to learn its worker's speed.
+     */
+    private static final int MIN_SPEED_REFERENCES = 2;
+
     /** A run that fails within this time, or this fraction of its duration, failed at once. */
     private static final long MIN_AT_ONCE_MS = 500;
 
@@ -265,7 +270,13 @@
                 && SlowWorkerDetector.isMeasurable(run)
                 && run.progress.canForecast()) {
             run.durationObserved = true;
-            run.task.step.observedDurations.add(run.worker.id, run.progress.fullDurationMs());
+            ObservedDurations durations = run.task.step.observedDurations;
+            long durationMs = Math.max(1, run.progress.fullDurationMs());
+            long elsewhereMs = durations.medianElsewhereMs(run.worker.id, MIN_SPEED_REFERENCES);
+            if (elsewhereMs > 0) {
+                run.worker.speed.add((double) elsewhereMs / durationMs);
+            }
+            durations.add(run.worker.id, durationMs);
         }
     }
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -90,6 +90,8 @@
     /** No runs are assigned before this time, because of failures or refused starts. */
     public long quarantinedUntilMs;
 
+    public final WorkerSpeed speed = new WorkerSpeed();
+
     /** When a run last succeeded here; 0 if none has. */
     public long lastSuccessAtMs;
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/SlowWorkerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/SlowWorkerTest.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
 
 /**
@@ -171,6 +172,29 @@
         }
     }
 
+    @Nested
+    class FastWorkers {
+        /** Guards against urgent jobs that end late on slower workers beside idle faster ones. */
+        @Test
+        void urgentTasksPreferWorkersThatWereFaster() {
+            for (int i = 0; i < 6; i++) {
+                addWorker("w" + i, "r1", i == 5 ? 0.025 : 0.02);
+            }
+            for (int job = 0; job < 6; job++) {
+                mFixture.submit("j" + job, BULK, tasks(6, 8, 5_000));
+                round();
+                work();
+                work();
+                mFixture.scheduler.onCancel(new JobId("j" + job), mFixture.nowMs);
+                mPercent.clear();
+                mFixture.nowMs += REPORT_INTERVAL_MS;
+                mPercentPerMs.keySet().forEach(w -> mFixture.report(w, List.of(), List.of()));
+            }
+            mFixture.submit("urgent", URGENT, tasks(1, 1, 1_000));
+            assertThat(workersOf(round())).containsExactly("w5");
+        }
+    }
+
     @Nested
     class Forecasts {
         /** Guards against stopping a run on a draining worker that is about to end. */
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
@@ -3,8 +3,10 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.lycheeroad.scheduler.NodeSettings;
 import org.lycheeroad.scheduler.SerialExecutor;
+import org.lycheeroad.scheduler.StoreKeys;
 import org.lycheeroad.scheduler.config.ConfigCache;
 import org.lycheeroad.scheduler.log.EventRecorder;
 import org.lycheeroad.scheduler.log.NodeMetrics;
@@ -27,6 +29,9 @@
      */
     private static final long HANDOVER_DELAY_MS = 250;
 
+    /** Several times the latency to the store from within its region. */
+    private static final long LAST_READ_TIMEOUT_MS = 150;
+
     private final MetadataStore mStore;
     private final WorkerGateway mGateway;
     private final PlacementPolicy mPolicy;
@@ -97,13 +102,26 @@
         if (mIsOwner) {
             if (failingForMs >= HANDOVER_DELAY_MS) {
                 mPeers.findPeerWithStore()
-                        .thenAccept(peer -> peer.ifPresent(this::handOverThrough));
+                        .thenAccept(peer -> peer.ifPresent(this::handOverIfStillUnavailable));
             }
         } else {
             mPeers.fetchOwner().thenAccept(owner -> owner.ifPresent(mElection::onOwnerReported));
         }
     }
 
+    /** Tries the store once more, since it may have returned for all VMs at this moment. */
+    private void handOverIfStillUnavailable(HostPort peer) {
+        mStore.read(StoreKeys.EPOCH)
+                .handle((epoch, e) -> e == null)
+                .completeOnTimeout(false, LAST_READ_TIMEOUT_MS, TimeUnit.MILLISECONDS)
+                .thenAccept(
+                        reached -> {
+                            if (!reached) {
+                                handOverThrough(peer);
+                            }
+                        });
+    }
+
     /** Ends the term, and then has a peer revoke its lease, so that another VM is elected. */
     private void handOverThrough(HostPort peer) {
         mExecutor.execute(
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -71,6 +71,10 @@
     private boolean mStopped;
     private boolean mPollInFlight;
     private boolean mUnreachable;
+
+    /** Whether the last recorded event about the worker's speed says that it is slow. */
+    private boolean mSlow;
+
     private long mLastResponseAtMs = Long.MIN_VALUE / 2;
 
     /** Whether the last poll listed ended runs, which the next poll has to acknowledge. */
@@ -301,6 +305,7 @@
             }
             logEndedRuns(reply.runs());
             mScheduler.onRunReport(mEntry.id(), reply.runs(), polledAtMs, nowMs);
+            recordSpeedChange();
             mNextPollAtMs = Math.max(nowMs, polledAtMs + MIN_POLL_INTERVAL_MS);
         } else if (answer == OrderAnswer.FENCED) {
             mOnFenced.run();
@@ -310,6 +315,17 @@
         pollIfDue();
     }
 
+    private void recordSpeedChange() {
+        boolean slow = mScheduler.isSlow(mEntry.id());
+        if (slow != mSlow) {
+            mSlow = slow;
+            mEvents.record(
+                    slow ? EventCode.WORKER_SLOW : EventCode.WORKER_NOT_SLOW,
+                    "",
+                    "worker=" + mEntry.id());
+        }
+    }
+
     private void logEndedRuns(WorkerRuns runs) {
         if (runs.incarnationStartMs() != mLoggedIncarnationBornMs) {
             mLoggedIncarnationBornMs = runs.incarnationStartMs();
--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -43,6 +43,8 @@
     RUN_ENDED(311, "run ended"),
     ADVICE_RECEIVED(312, "placement policy answered"),
     RECORDS_REMOVED(313, "records of ended jobs removed"),
+    WORKER_SLOW(314, "worker is slow"),
+    WORKER_NOT_SLOW(315, "worker is no longer slow"),
 
     ATTEMPT_STARTED(400, "attempt at a target started"),
     ATTEMPT_ENDED(401, "attempt at a target ended"),
