Serve calls that wait for the configuration in the order of their arrival

Ruled out: the watch, which delivered version 11 within the bound; the relay of calls.

Change: those who wait for a revalidation continue in the order in which they began to wait, a revalidation is visible to others from the moment it is requested, and a call waits for up to two in a row.

Tests: ConfigCacheTest.laterWaiterSeesTheRevalidationThatAnEarlierOneRequests, recentValidationDoesNotReplaceANewOne.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowRunMover.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowRunMover.java
@@ -73,7 +73,9 @@
         return endMs <= mOrder.lastUsefulEndMs(step, nowMs, wallMs) ? 1 : 2;
     }
 
-    /** Returns how much later a run ends if it starts anew elsewhere, beside its own duration. */
+    /**
+     * Returns how much later a run ends if it is started again elsewhere, beside its own duration.
+     */
     private static long lossMs(Run run, long restartMs) {
         StepInstance step = run.task.step;
         double done = step.plan.checkpointing() ? 0 : run.progress.percent() / PERCENT;
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
@@ -1,6 +1,7 @@
 package org.lycheeroad.scheduler.config;
 
 import com.google.protobuf.ByteString;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -32,9 +33,6 @@
     /** Several times the network latency between regions. */
     private static final long REVALIDATION_TIMEOUT_MS = 900;
 
-    /** A configuration validated more recently than this is not validated again. */
-    private static final long MAX_FRESH_AGE_MS = 50;
-
     /**
      * A compressed configuration.
      *
@@ -56,13 +54,13 @@
     private long mPeersQueriedAtMs = Long.MIN_VALUE / 2;
 
     /** The store's revision up to which changes are known; 0 before the first listing. */
-    private long mWatchedRevision;
+    private volatile long mWatchedRevision;
 
-    /** The revalidation in progress, or null. */
-    private volatile CompletableFuture<Optional<ClusterConfig>> mRevalidation;
+    /** The revalidation in progress, or null; guarded by this. */
+    private Revalidation mRevalidation;
 
-    /** The revalidation to start after the one in progress, or null. */
-    private CompletableFuture<Optional<ClusterConfig>> mNextRevalidation;
+    /** The revalidation to start after the one in progress, or null; guarded by this. */
+    private Revalidation mNextRevalidation;
 
     public ConfigCache(
             MetadataStore store,
@@ -119,48 +117,49 @@
     }
 
     /**
-     * Returns the revalidation in progress, if there is one.
+     * Returns the end of the revalidation that is requested last, if one is in progress.
      *
      * <p>API calls that arrive meanwhile have to wait for it; otherwise they could be served under
-     * an older configuration than an earlier call that waits for it.
+     * an older configuration than an earlier call that waits for it. Those who wait continue in the
+     * order in which they began to wait.
      */
-    public Optional<CompletableFuture<Optional<ClusterConfig>>> revalidationInProgress() {
-        return Optional.ofNullable(mRevalidation);
+    public synchronized Optional<CompletableFuture<Optional<ClusterConfig>>>
+            revalidationInProgress() {
+        Revalidation newest = mNextRevalidation == null ? mRevalidation : mNextRevalidation;
+        return Optional.ofNullable(newest).map(Revalidation::addWaiter);
     }
 
     /**
      * Checks whether a newer configuration exists and applies it; has to be called before an API
-     * call is rejected on the ground of the configuration.
+     * call is rejected on the ground of the configuration. The check begins after this call; all
+     * calls made during a check share the next one.
      *
      * @return the newest configuration, or empty if neither the store nor another daemon responds
      */
-    public CompletableFuture<Optional<ClusterConfig>> revalidate() {
-        if (mConfig != null && ageMs() < MAX_FRESH_AGE_MS) {
-            return CompletableFuture.completedFuture(current());
-        }
-        CompletableFuture<Optional<ClusterConfig>> revalidated = new CompletableFuture<>();
-        mExecutor.execute(() -> nextRevalidation().thenAccept(revalidated::complete));
-        return revalidated;
-    }
-
-    /**
-     * Returns a revalidation that has not started before this call.
-     *
-     * <p>All calls made during a revalidation share the one that starts after it.
-     */
-    private CompletableFuture<Optional<ClusterConfig>> nextRevalidation() {
+    public synchronized CompletableFuture<Optional<ClusterConfig>> revalidate() {
         if (mNextRevalidation == null) {
-            mNextRevalidation = new CompletableFuture<>();
+            mNextRevalidation = new Revalidation();
         }
-        CompletableFuture<Optional<ClusterConfig>> next = mNextRevalidation;
+        CompletableFuture<Optional<ClusterConfig>> end = mNextRevalidation.addWaiter();
         if (mRevalidation == null) {
-            startRevalidation();
+            startNextRevalidation();
         }
-        return next;
+        return end;
     }
 
-    private void startRevalidation() {
-        CompletableFuture<Optional<ClusterConfig>> revalidation = mNextRevalidation;
+    /** A check for a newer configuration, and the calls that wait for it in their order. */
+    private static final class Revalidation {
+        private final List<CompletableFuture<Optional<ClusterConfig>>> mWaiters = new ArrayList<>();
+
+        CompletableFuture<Optional<ClusterConfig>> addWaiter() {
+            CompletableFuture<Optional<ClusterConfig>> waiter = new CompletableFuture<>();
+            mWaiters.add(waiter);
+            return waiter;
+        }
+    }
+
+    private synchronized void startNextRevalidation() {
+        Revalidation revalidation = mNextRevalidation;
         mNextRevalidation = null;
         mRevalidation = revalidation;
         long startedAtMs = mClock.monotonicMs();
@@ -182,13 +181,17 @@
                 });
     }
 
-    private void finishRevalidation(
-            CompletableFuture<Optional<ClusterConfig>> revalidation,
-            Optional<ClusterConfig> config) {
-        mRevalidation = null;
-        revalidation.complete(config);
-        if (mNextRevalidation != null) {
-            startRevalidation();
+    private void finishRevalidation(Revalidation revalidation, Optional<ClusterConfig> config) {
+        synchronized (this) {
+            mRevalidation = null;
+        }
+        // A waiter that requests another revalidation is seen by those behind it, which then wait
+        // for that one too. Nobody else can join this list any more.
+        revalidation.mWaiters.forEach(waiter -> waiter.complete(config));
+        synchronized (this) {
+            if (mRevalidation == null && mNextRevalidation != null) {
+                startNextRevalidation();
+            }
         }
     }
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -38,6 +38,9 @@
 
     private static final long RETRY_INTERVAL_MS = 120;
 
+    /** How many revalidations in a row a call waits for. */
+    private static final int MAX_REVALIDATION_WAITS = 2;
+
     /** Store outages and failovers last some seconds; a second spreads the retries over time. */
     private static final int RETRY_AFTER_S = 1;
 
@@ -124,14 +127,25 @@
 
     private CompletableFuture<ApiResponse> withQueue(
             ApiRequest request, Function<QueueAccess, CompletableFuture<ApiResponse>> action) {
+        return awaitEarlierRevalidations(MAX_REVALIDATION_WAITS)
+                .thenCompose(unused -> withCurrentConfig(request, action));
+    }
+
+    /**
+     * Waits for revalidations that earlier calls have requested. Such a call may request another
+     * one when the first ends, so that waiting once is not enough; a bound keeps calls with unknown
+     * keys from holding up all others.
+     */
+    private CompletableFuture<Void> awaitEarlierRevalidations(int mostWaits) {
         Optional<CompletableFuture<Optional<ClusterConfig>>> revalidation =
-                mJobStore.isStoreUnavailable()
+                mostWaits == 0 || mJobStore.isStoreUnavailable()
                         ? Optional.empty()
                         : mConfigCache.revalidationInProgress();
-        if (revalidation.isPresent()) {
-            return revalidation.get().thenCompose(unused -> withCurrentConfig(request, action));
-        }
-        return withCurrentConfig(request, action);
+        return revalidation.isEmpty()
+                ? CompletableFuture.completedFuture(null)
+                : revalidation
+                        .get()
+                        .thenCompose(unused -> awaitEarlierRevalidations(mostWaits - 1));
     }
 
     private CompletableFuture<ApiResponse> withCurrentConfig(
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -120,6 +120,40 @@
         assertThat(mCache.revalidationInProgress()).isEmpty();
     }
 
+    /**
+     * Guards against a fault seen on steyrtal-buegel scale-1, seed 780186304714: two calls waited
+     * for one revalidation; when it ended, the earlier one requested another and was served under
+     * version 11, while the later one was served at once under version 3.
+     */
+    @Test
+    void laterWaiterSeesTheRevalidationThatAnEarlierOneRequests() throws Exception {
+        CompletableFuture<Optional<ClusterConfig>> first = mCache.revalidate();
+        CompletableFuture<Optional<ClusterConfig>> earlier =
+                mCache.revalidationInProgress()
+                        .orElseThrow()
+                        .thenCompose(unused -> mCache.revalidate());
+        CompletableFuture<Optional<ClusterConfig>> later =
+                mCache.revalidationInProgress()
+                        .orElseThrow()
+                        .thenCompose(unused -> mCache.revalidationInProgress().orElseThrow());
+        mStore.answerImmediateWatch(List.of());
+        assertThat(version(first)).isEqualTo(1);
+        mStore.answerImmediateWatch(List.of(FakeStore.configAt(11)));
+        assertThat(version(earlier)).isEqualTo(11);
+        assertThat(version(later)).isEqualTo(11);
+    }
+
+    /** Guards against a call that is rejected although its key was confirmed just before it. */
+    @Test
+    void recentValidationDoesNotReplaceANewOne() throws Exception {
+        CompletableFuture<Optional<ClusterConfig>> first = mCache.revalidate();
+        mStore.answerImmediateWatch(List.of());
+        assertThat(version(first)).isEqualTo(1);
+        CompletableFuture<Optional<ClusterConfig>> second = mCache.revalidate();
+        mStore.answerImmediateWatch(List.of(FakeStore.configAt(2)));
+        assertThat(version(second)).isEqualTo(2);
+    }
+
     private static long version(CompletableFuture<Optional<ClusterConfig>> config)
             throws Exception {
         return config.get(5, TimeUnit.SECONDS).orElseThrow().version();
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformFixture.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformFixture.java
@@ -77,6 +77,8 @@
     /** Stops a daemon and starts a new process life of it with the same settings. */
     void restart(int vm) throws Exception {
         daemons.get(vm).stopNow();
+        // The client must not send a request on a connection that the stop has closed.
+        mHttp.closeIdleConnections();
         daemons.set(vm, startDaemon(mSettings.get(vm)));
         awaitReady(vm);
     }
