--- a/review/harness/Case.java
+++ b/review/harness/Case.java
@@ -21,12 +21,11 @@
             try (Cluster cluster = new Cluster(record)) {
                 record.line("disruption: %s", TROUBLE ? "yes" : "no");
                 code = played.play(cluster, record) ? 0 : BROKEN;
-            } catch (IOException | RuntimeException e) {
-                record.line("could not run: %s", e);
-                e.printStackTrace();
-                code = NOT_RUN;
             }
             record.line("exit %d", code);
+        } catch (IOException | RuntimeException | Error e) {
+            e.printStackTrace();
+            code = NOT_RUN;
         }
         System.exit(code);
     }
--- a/review/harness/Cluster.java
+++ b/review/harness/Cluster.java
@@ -37,6 +37,7 @@
         String mHost;
         int mFront;
         int mMetrics;
+        Store.Access mStore;
         Path mSettings;
         Process mProcess;
     }
@@ -79,8 +80,13 @@
         return executor;
     }
 
-    /** Writes a new version of the configuration, with these routes. */
+    /** Writes a new version of the configuration, with these routes and one key of the tenant. */
     void writeConfig(Route... routes) {
+        writeConfig(List.of(API_KEY), routes);
+    }
+
+    /** Writes a new version of the configuration, with these keys of the tenant and routes. */
+    void writeConfig(List<String> keys, Route... routes) {
         ObjectNode config = Http.JSON.createObjectNode().put("version", ++mVersion);
         ArrayNode rows = config.putArray("routes");
         for (Route route : routes) {
@@ -112,10 +118,11 @@
                 .put("header_timeout_ms", 3_000)
                 .put("idle_timeout_ms", 15_000);
         ObjectNode tenant = config.putArray("tenants").addObject();
-        tenant.put("name", "kaje80").put("priority", 1).putArray("api_keys").add(API_KEY);
+        ArrayNode keyRow = tenant.put("name", "kaje80").put("priority", 1).putArray("api_keys");
+        keys.forEach(keyRow::add);
         tenant.putObject("guaranteed").put("gpu", 8);
         mStore.write("op/config", config.toString());
-        mRecord.line("operator writes version %d: %s", mVersion, List.of(routes));
+        mRecord.line("operator writes version %d: keys %s, %s", mVersion, keys, List.of(routes));
     }
 
     /** Starts daemons, each at a loopback address of its own, and waits until they are ready. */
@@ -139,6 +146,7 @@
             daemon.mHost = "127.0.0." + (11 + i);
             daemon.mFront = ports.get(i)[0];
             daemon.mMetrics = ports.get(i)[3];
+            daemon.mStore = mStore.addAccess();
             daemon.mSettings = mFolder.resolve(daemon.mName + ".json");
             Files.writeString(daemon.mSettings, settings(daemon, ports.get(i), seeds).toString());
             mDaemons.put(daemon.mName, daemon);
@@ -159,7 +167,7 @@
                 .put("control", daemon.mHost + ":" + ports[2]);
         ArrayNode rows = settings.putArray("seeds");
         seeds.forEach(rows::add);
-        ((ObjectNode) settings.path("platform")).put("address", "127.0.0.1:" + mStore.port());
+        ((ObjectNode) settings.path("platform")).put("address", "127.0.0.1:" + daemon.mStore.port());
         return settings;
     }
 
@@ -195,6 +203,10 @@
         throw new IllegalStateException(daemon.mName + " does not answer");
     }
 
+    Store.Access storeAccess(String name) {
+        return mDaemons.get(name).mStore;
+    }
+
     List<String> daemons() {
         return List.copyOf(mDaemons.keySet());
     }
@@ -261,13 +273,18 @@
 
     /** Sends a call to a daemon; the answer has status 0 if none came in time. */
     Answer call(String name, String method, String path, String body) {
+        return call(API_KEY, name, method, path, body);
+    }
+
+    /** The same with an API key. */
+    Answer call(String key, String name, String method, String path, String body) {
         Daemon daemon = mDaemons.get(name);
         HttpRequest request =
                 HttpRequest.newBuilder(
                                 URI.create("http://" + daemon.mHost + ":" + daemon.mFront + path))
                         .timeout(Duration.ofMillis(ANSWER_MS))
                         .header("Host", HOST)
-                        .header("Authorization", "Token " + API_KEY)
+                        .header("Authorization", "Token " + key)
                         .header("X-Lycheeroad-Deadline-Ms", Integer.toString(ANSWER_MS))
                         .header("Content-Type", "application/json")
                         .method(
