--- a/review/harness/Cluster.java
+++ b/review/harness/Cluster.java
@@ -29,6 +29,9 @@
     /** A route of the configuration. */
     record Route(String name, String prefix, int priority, int maxAttempts, double slackFactor) {}
 
+    /** A tenant of the configuration, with its API keys and guaranteed accelerators. */
+    record Tenant(String name, List<String> keys, int gpu) {}
+
     /** The answer to a call; status 0 if there was none. */
     record Answer(int status, String text) {}
 
@@ -80,13 +83,13 @@
         return executor;
     }
 
-    /** Writes a new version of the configuration, with these routes and one key of the tenant. */
+    /** Writes a new version of the configuration, with these routes and one tenant. */
     void writeConfig(Route... routes) {
-        writeConfig(List.of(API_KEY), routes);
+        writeConfig(List.of(new Tenant("kaje80", List.of(API_KEY), 8)), routes);
     }
 
-    /** Writes a new version of the configuration, with these keys of the tenant and routes. */
-    void writeConfig(List<String> keys, Route... routes) {
+    /** Writes a new version of the configuration, with these tenants and routes. */
+    void writeConfig(List<Tenant> tenants, Route... routes) {
         ObjectNode config = Http.JSON.createObjectNode().put("version", ++mVersion);
         ArrayNode rows = config.putArray("routes");
         for (Route route : routes) {
@@ -117,12 +120,15 @@
                 .put("max_body_bytes", 262_144)
                 .put("header_timeout_ms", 3_000)
                 .put("idle_timeout_ms", 15_000);
-        ObjectNode tenant = config.putArray("tenants").addObject();
-        ArrayNode keyRow = tenant.put("name", "kaje80").put("priority", 1).putArray("api_keys");
-        keys.forEach(keyRow::add);
-        tenant.putObject("guaranteed").put("gpu", 8);
+        ArrayNode tenantRows = config.putArray("tenants");
+        for (Tenant tenant : tenants) {
+            ObjectNode row = tenantRows.addObject().put("name", tenant.name).put("priority", 1);
+            ArrayNode keys = row.putArray("api_keys");
+            tenant.keys.forEach(keys::add);
+            row.putObject("guaranteed").put("gpu", tenant.gpu);
+        }
         mStore.write("op/config", config.toString());
-        mRecord.line("operator writes version %d: keys %s, %s", mVersion, keys, List.of(routes));
+        mRecord.line("operator writes version %d: %s, %s", mVersion, tenants, List.of(routes));
     }
 
     /** Starts daemons, each at a loopback address of its own, and waits until they are ready. */
@@ -311,9 +317,14 @@
 
     /** Hands a job in at one daemon after the other until one accepts it. */
     void submit(String path, String body) {
+        submit(API_KEY, path, body);
+    }
+
+    /** The same with an API key. */
+    void submit(String key, String path, String body) {
         for (int i = 0; i < 20; i++) {
             String name = daemons().get(i % daemons().size());
-            if (call(name, "POST", path, body).status == 200) {
+            if (call(key, name, "POST", path, body).status == 200) {
                 return;
             }
             Http.sleep(200);
