--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Tasks that are done run again after the leader was killed.
+# A guaranteed job that never begins, since another tenant has borrowed the accelerators.
 # Exit code 1: the rule was broken; 0: it held; 2: the case could not run. TROUBLE=0 leaves the
 # disruption out.
-exec "$(dirname "$0")/../run-case.sh" review/4 EndsBeyondPage
+exec "$(dirname "$0")/../run-case.sh" review/4 GuaranteeBorrowed
--- a/review/harness/Cluster.java
+++ b/review/harness/Cluster.java
@@ -56,6 +56,7 @@
                     .connectTimeout(Duration.ofMillis(ANSWER_MS))
                     .build();
     private final Path mFolder = Files.createTempDirectory("lycheeroad-review");
+    private long mHoldMaxMs = 6_000;
     private long mVersion = 6;
     private boolean mClosed;
 
@@ -65,6 +66,11 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
+    /** Sets the longest lease of executors; applies to executors and daemons started later. */
+    void setHoldMaxMs(long holdMaxMs) {
+        mHoldMaxMs = holdMaxMs;
+    }
+
     Ledger ledger() {
         return mLedger;
     }
@@ -78,7 +84,7 @@
     }
 
     Executor addExecutor(String id, String kind, String rack, int cpu) throws IOException {
-        Executor executor = new Executor(id, kind, rack, cpu, mStore, mLedger);
+        Executor executor = new Executor(id, kind, rack, cpu, mHoldMaxMs, mStore, mLedger);
         mExecutors.add(executor);
         return executor;
     }
@@ -173,6 +179,7 @@
                 .put("control", daemon.mHost + ":" + ports[2]);
         ArrayNode rows = settings.putArray("seeds");
         seeds.forEach(rows::add);
+        ((ObjectNode) settings.path("bounds")).put("hold_max_ms", mHoldMaxMs);
         ((ObjectNode) settings.path("platform")).put("address", "127.0.0.1:" + daemon.mStore.port());
         return settings;
     }
--- a/review/harness/Executor.java
+++ b/review/harness/Executor.java
@@ -32,7 +32,6 @@
         boolean refuses(String path, String task);
     }
 
-    static final long HOLD_MAX_MS = 6_000;
     private static final long HEARTBEAT_MS = 1_500;
     private static final long STOP_MS = 100;
     private static final int FINISHED_ROWS = 500;
@@ -52,6 +51,7 @@
     private final String mKind;
     private final String mRack;
     private final int mCpu;
+    private final long mHoldMaxMs;
     private final Store mStore;
     private final Ledger mLedger;
     private final HttpServer mServer;
@@ -73,15 +73,24 @@
     private long mSeq;
     private boolean mLapsed = true;
     private volatile boolean mDown;
+    private volatile long mLeavesAtNanos;
     private volatile Delay mDelay = (path, task) -> 0;
     private volatile Refusal mRefusal = (path, task) -> false;
 
-    Executor(String id, String kind, String rack, int cpu, Store store, Ledger ledger)
+    Executor(
+            String id,
+            String kind,
+            String rack,
+            int cpu,
+            long holdMaxMs,
+            Store store,
+            Ledger ledger)
             throws IOException {
         mId = id;
         mKind = kind;
         mRack = rack;
         mCpu = cpu;
+        mHoldMaxMs = holdMaxMs;
         mStore = store;
         mLedger = ledger;
         boot();
@@ -118,6 +127,21 @@
         beat();
     }
 
+    /** Reports that the executor is draining, and lets it leave for good some time later. */
+    void leave(long remainingMs, long staysMs) {
+        mLeavesAtNanos = System.nanoTime() + remainingMs * 1_000_000;
+        mLedger.note("%s is draining", mId);
+        beat();
+        Http.sleep(staysMs);
+        synchronized (this) {
+            mDown = true;
+            mRunning.values().forEach(run -> mLedger.end(mId, run.mTask, run.mAttempt, "gone"));
+            mRunning.clear();
+            mLedger.note("%s leaves", mId);
+        }
+        mStore.remove("servers/" + mId);
+    }
+
     private void boot() {
         mRunning.clear();
         mHighest.clear();
@@ -143,7 +167,12 @@
         synchronized (this) {
             entry.put("service", Cluster.SERVICE);
             entry.put("address", "127.0.0.1:" + mServer.getAddress().getPort());
-            entry.put("zone", "z1").put("version", "v1").put("slots", 8).put("state", "ready");
+            entry.put("zone", "z1").put("version", "v1").put("slots", 8);
+            entry.put("state", mLeavesAtNanos == 0 ? "ready" : "draining");
+            if (mLeavesAtNanos != 0) {
+                long leftMs = (mLeavesAtNanos - System.nanoTime()) / 1_000_000;
+                entry.put("remaining_ms", Math.max(0, leftMs));
+            }
             entry.put("cold_left_ms", 0);
             entry.putObject("capacity").put("cpu", mCpu).put("mem_mb", 262_144).put("gpu", 8);
             entry.putArray("labels").add(mKind).add(mRack);
@@ -300,7 +329,7 @@
     }
 
     private void extendLease(long expiresMs) {
-        mLeaseMs = Math.max(mLeaseMs, Math.min(expiresMs, clockMs() + HOLD_MAX_MS));
+        mLeaseMs = Math.max(mLeaseMs, Math.min(expiresMs, clockMs() + mHoldMaxMs));
     }
 
     private synchronized void tick() {
