--- a/review/harness/CancelledRunLasts.java
+++ b/review/harness/CancelledRunLasts.java
@@ -39,7 +39,8 @@
         for (Executor executor : cluster.executors()) {
             if (executor.id().equals(worker)) {
                 executor.setDelay(
-                        (path, task) -> path.equals("/run-stop") && late.getAndSet(false) ? LATE_MS : 0);
+                        (path, task) ->
+                                path.equals("/run-stop") && late.getAndSet(false) ? LATE_MS : 0);
             }
         }
         String leader = cluster.awaitLeader();
--- a/review/harness/Cluster.java
+++ b/review/harness/Cluster.java
@@ -40,7 +40,6 @@
         String mHost;
         int mFront;
         int mMetrics;
-        Store.Access mStore;
         Path mSettings;
         Process mProcess;
     }
@@ -75,10 +74,6 @@
         return mLedger;
     }
 
-    Store store() {
-        return mStore;
-    }
-
     List<Executor> executors() {
         return mExecutors;
     }
@@ -158,9 +153,9 @@
             daemon.mHost = "127.0.0." + (11 + i);
             daemon.mFront = ports.get(i)[0];
             daemon.mMetrics = ports.get(i)[3];
-            daemon.mStore = mStore.addAccess();
             daemon.mSettings = mFolder.resolve(daemon.mName + ".json");
-            Files.writeString(daemon.mSettings, settings(daemon, ports.get(i), seeds).toString());
+            String settings = settings(daemon, ports.get(i), seeds).toString();
+            Files.writeString(daemon.mSettings, settings);
             mDaemons.put(daemon.mName, daemon);
             start(daemon);
         }
@@ -170,8 +165,8 @@
     }
 
     private ObjectNode settings(Daemon daemon, int[] ports, List<String> seeds) throws IOException {
-        ObjectNode settings =
-                (ObjectNode) Http.JSON.readTree(Files.readAllBytes(Path.of("review/harness/settings.json")));
+        Path template = Path.of("review/harness/settings.json");
+        ObjectNode settings = (ObjectNode) Http.JSON.readTree(Files.readAllBytes(template));
         settings.put("node_name", daemon.mName).put("ip", daemon.mHost);
         settings.putObject("listen")
                 .put("front", daemon.mHost + ":" + ports[0])
@@ -180,7 +175,7 @@
         ArrayNode rows = settings.putArray("seeds");
         seeds.forEach(rows::add);
         ((ObjectNode) settings.path("bounds")).put("hold_max_ms", mHoldMaxMs);
-        ((ObjectNode) settings.path("platform")).put("address", "127.0.0.1:" + daemon.mStore.port());
+        ((ObjectNode) settings.path("platform")).put("address", "127.0.0.1:" + mStore.port());
         return settings;
     }
 
@@ -216,10 +211,6 @@
         throw new IllegalStateException(daemon.mName + " does not answer");
     }
 
-    Store.Access storeAccess(String name) {
-        return mDaemons.get(name).mStore;
-    }
-
     List<String> daemons() {
         return List.copyOf(mDaemons.keySet());
     }
--- a/review/harness/Executor.java
+++ b/review/harness/Executor.java
@@ -27,11 +27,6 @@
         long ms(String path, String task);
     }
 
-    /** Returns whether an order gets 503 and is not carried out. */
-    interface Refusal {
-        boolean refuses(String path, String task);
-    }
-
     private static final long HEARTBEAT_MS = 1_500;
     private static final long STOP_MS = 100;
     private static final int FINISHED_ROWS = 500;
@@ -65,8 +60,8 @@
     private final Map<String, Run> mRunning = new LinkedHashMap<>();
     private final Map<String, Integer> mHighest = new HashMap<>();
     private final List<End> mEnds = new ArrayList<>();
-    private long mBornMs;
-    private long mBootNanos;
+    private final long mBornMs = System.currentTimeMillis();
+    private final long mBootNanos = System.nanoTime();
     private long mLastEnd;
     private long mFence;
     private long mLeaseMs;
@@ -75,7 +70,6 @@
     private volatile boolean mDown;
     private volatile long mLeavesAtNanos;
     private volatile Delay mDelay = (path, task) -> 0;
-    private volatile Refusal mRefusal = (path, task) -> false;
 
     Executor(
             String id,
@@ -93,7 +87,6 @@
         mHoldMaxMs = holdMaxMs;
         mStore = store;
         mLedger = ledger;
-        boot();
         mServer = Http.serve(0, this::handle);
         mTimer.scheduleAtFixedRate(this::tick, 10, 10, TimeUnit.MILLISECONDS);
         mTimer.scheduleAtFixedRate(this::beat, 0, HEARTBEAT_MS, TimeUnit.MILLISECONDS);
@@ -107,26 +100,6 @@
         mDelay = delay;
     }
 
-    void setRefusal(Refusal refusal) {
-        mRefusal = refusal;
-    }
-
-    /** Crashes the executor and starts it again, under its id and address, after some time. */
-    void crash(long downMs) {
-        synchronized (this) {
-            mDown = true;
-            mRunning.values().forEach(run -> mLedger.end(mId, run.mTask, run.mAttempt, "crashed"));
-            mRunning.clear();
-            mLedger.crash(mId);
-        }
-        Http.sleep(downMs);
-        synchronized (this) {
-            boot();
-            mDown = false;
-        }
-        beat();
-    }
-
     /** Reports that the executor is draining, and lets it leave for good some time later. */
     void leave(long remainingMs, long staysMs) {
         mLeavesAtNanos = System.nanoTime() + remainingMs * 1_000_000;
@@ -142,19 +115,6 @@
         mStore.remove("servers/" + mId);
     }
 
-    private void boot() {
-        mRunning.clear();
-        mHighest.clear();
-        mEnds.clear();
-        mLastEnd = 0;
-        mFence = 0;
-        mLeaseMs = 0;
-        mLapsed = true;
-        mSeq = 0;
-        mBornMs = System.currentTimeMillis();
-        mBootNanos = System.nanoTime();
-    }
-
     private long clockMs() {
         return (System.nanoTime() - mBootNanos) / 1_000_000 + 1_000;
     }
@@ -194,11 +154,6 @@
             Http.respond(exchange, 421, Http.JSON.createObjectNode());
             return;
         }
-        if (mRefusal.refuses(path, task)) {
-            mLedger.note("%s refuses %s %s with 503", mId, path, task);
-            Http.respond(exchange, 503, Http.JSON.createObjectNode());
-            return;
-        }
         long delayMs = mDelay.ms(path, task);
         if (delayMs > 0) {
             mLedger.note("%s leaves %s %s unanswered", mId, path, body);
@@ -295,8 +250,7 @@
             extendLease(body.path("expires_ms").asLong());
         }
         long untilMs = clockMs() + body.path("wait_ms").asLong();
-        long bornMs = mBornMs;
-        while (mEnds.isEmpty() && clockMs() < untilMs && mBornMs == bornMs) {
+        while (mEnds.isEmpty() && clockMs() < untilMs) {
             try {
                 wait(Math.max(1, untilMs - clockMs()));
             } catch (InterruptedException e) {
--- a/review/harness/GuaranteeBorrowed.java
+++ b/review/harness/GuaranteeBorrowed.java
@@ -5,8 +5,8 @@
 
 /**
  * A tenant's urgent job that lasts takes all accelerators, also those guaranteed to another tenant,
- * which has no work at that time. Then the other tenant hands in an urgent job within its guarantee.
- * Without the disruption, the first job keeps to its own tenant's guarantee.
+ * which has no work at that time. Then the other tenant hands in an urgent job within its
+ * guarantee. Without the disruption, the first job keeps to its own tenant's guarantee.
  */
 final class GuaranteeBorrowed extends Case {
     private static final String BORROWER = "00000000000000a1";
--- a/review/harness/Ledger.java
+++ b/review/harness/Ledger.java
@@ -16,17 +16,6 @@
         long mEndMs = Long.MAX_VALUE;
 
         String mEnd = "";
-
-        /** When the end was acknowledged by {@code observed}; MAX_VALUE before that. */
-        long mNotedMs = Long.MAX_VALUE;
-
-        /** Whether the executor's lease expired between the end and its acknowledgement. */
-        boolean mLapsedBeforeNoted;
-
-        /** Whether the end was taken note of, as the rules count it. */
-        boolean isNoted() {
-            return mNotedMs != Long.MAX_VALUE && !mLapsedBeforeNoted;
-        }
     }
 
     private final Record mRecord;
@@ -67,31 +56,11 @@
 
     synchronized void noted(String executor, String task, int attempt) {
         mRecord.line("%s forgets the end of %s run %d", executor, task, attempt);
-        for (Entry entry : mEntries) {
-            if (entry.mExecutor.equals(executor)
-                    && entry.mTask.equals(task)
-                    && entry.mAttempt == attempt
-                    && entry.mEndMs != Long.MAX_VALUE
-                    && entry.mNotedMs == Long.MAX_VALUE) {
-                entry.mNotedMs = mRecord.nowMs();
-            }
-        }
     }
 
     /** Records that an executor's lease has expired, whether it had runs or not. */
     synchronized void lapse(String executor) {
         mRecord.line("%s: lease expired", executor);
-        for (Entry entry : mEntries) {
-            if (entry.mExecutor.equals(executor)
-                    && entry.mEndMs != Long.MAX_VALUE
-                    && entry.mNotedMs == Long.MAX_VALUE) {
-                entry.mLapsedBeforeNoted = true;
-            }
-        }
-    }
-
-    synchronized void crash(String executor) {
-        mRecord.line("%s crashes", executor);
     }
 
     synchronized List<Entry> entries() {
--- a/review/harness/Record.java
+++ b/review/harness/Record.java
@@ -16,7 +16,8 @@
         try {
             mWriter =
                     new PrintWriter(
-                            Files.newBufferedWriter(file, StandardCharsets.UTF_8), /* autoFlush= */ true);
+                            Files.newBufferedWriter(file, StandardCharsets.UTF_8),
+                            /* autoFlush= */ true);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/review/harness/SchedulingStops.java
+++ b/review/harness/SchedulingStops.java
@@ -55,9 +55,11 @@
             cluster.kill(cluster.awaitLeader(), 500);
         }
         Http.sleep(25_000);
+        // The killed process is back within 1.5 s.
+        long calmMs = killedMs + 1_500 + CONTACT_MS;
         List<Ledger.Entry> lapsed =
                 ledger.runsOf(SERVING).stream()
-                        .filter(e -> e.mEnd.equals("lapsed") && e.mEndMs > killedMs + 1_500 + CONTACT_MS)
+                        .filter(entry -> entry.mEnd.equals("lapsed") && entry.mEndMs > calmMs)
                         .toList();
         for (Ledger.Entry entry : lapsed) {
             record.line(
--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -41,27 +41,6 @@
         long mEndsAtMs;
     }
 
-    /** The address at which one machine reaches the store. */
-    static final class Access {
-        private HttpServer mServer;
-        private volatile boolean mSilent;
-        private volatile long mLastWatchNanos;
-
-        int port() {
-            return mServer.getAddress().getPort();
-        }
-
-        /** Sets whether calls of this machine get no response; one that came so never gets one. */
-        void setSilent(boolean silent) {
-            mSilent = silent;
-        }
-
-        /** Returns for how long the machine has waited for changes of the configuration. */
-        long msSinceConfigWatch() {
-            return (System.nanoTime() - mLastWatchNanos) / 1_000_000;
-        }
-    }
-
     private record Event(String key, long revision, ObjectNode json) {}
 
     private final TreeMap<String, Item> mItems = new TreeMap<>();
@@ -74,17 +53,17 @@
                         thread.setDaemon(true);
                         return thread;
                     });
+    private final HttpServer mServer;
     private long mRevision = 100;
     private long mLastLease = 7_000;
 
-    Store() {
+    Store() throws IOException {
+        mServer = Http.serve(0, this::handle);
         mTimer.scheduleAtFixedRate(this::endLeases, 20, 20, TimeUnit.MILLISECONDS);
     }
 
-    Access addAccess() throws IOException {
-        Access access = new Access();
-        access.mServer = Http.serve(0, exchange -> handle(exchange, access));
-        return access;
+    int port() {
+        return mServer.getAddress().getPort();
     }
 
     /** Writes a key as the operator or an executor does. */
@@ -109,17 +88,11 @@
                 : new String(Base64.getDecoder().decode(item.mValue), StandardCharsets.UTF_8);
     }
 
-    private void handle(HttpExchange exchange, Access access) throws IOException {
+    private void handle(HttpExchange exchange) throws IOException {
         JsonNode body = Http.body(exchange);
         String path = exchange.getRequestURI().getPath();
         Map<String, String> query = Http.query(exchange);
-        if (query.getOrDefault("path_prefix", "").equals("op/config")) {
-            access.mLastWatchNanos = System.nanoTime();
-        }
         Http.sleep(ANSWER_MS);
-        if (access.mSilent) {
-            return;
-        }
         if (path.equals("/kv-key")) {
             ObjectNode item = item(query.get("key"));
             Http.respond(exchange, item == null ? 404 : 200, item == null ? asOf() : item);
@@ -129,10 +102,7 @@
         } else if (path.equals("/kv-watch")) {
             long after = Long.parseLong(query.get("after"));
             long waitMs = Long.parseLong(query.getOrDefault("wait_ms", "0"));
-            ObjectNode changes = watch(query.get("path_prefix"), after, waitMs);
-            if (!access.mSilent) {
-                Http.respond(exchange, 200, changes);
-            }
+            Http.respond(exchange, 200, watch(query.get("path_prefix"), after, waitMs));
         } else if (path.equals("/kv-txn")) {
             ObjectNode answer = Http.JSON.createObjectNode();
             Http.respond(exchange, transact(body, answer), answer);
