Create occurrences that are due and missing after a takeover

Cause: Job.addDueOccurrences went on behind the highest occurrence that exists. A late occurrence ranks behind one that can still end in time, so the highest one may start first. The next owner restores only the occurrences of which saved progress has a run, and so never created those before it. Job.isDone counts the missing ones.

Both new tests failed before the change: no start of occurrences 0 and 1, and no start that could complete the job.

Ruled out: the order of starts (an owner that stays runs all five in the same order) and lost progress (tasks without a run are never in it).

Conclusion: which occurrences exist depends only on the plan and the clock, so no progress can hide one.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
@@ -33,6 +33,12 @@
     public long savedVersion;
     public long endedAtMs;
 
+    /**
+     * The first occurrence that has not been found due. Occurrences may start in any order, so
+     * saved progress may lack an occurrence before one that it has.
+     */
+    private int mNextOccurrence;
+
     Job(JobId id, JobRecord record, QueueConfig queue, long acceptedAt) {
         this.id = id;
         this.record = record;
@@ -43,10 +49,10 @@
     /** Creates the occurrences that are due and returns whether there were any. */
     boolean addDueOccurrences(long wallMs) {
         boolean added = false;
-        int next = occurrences.isEmpty() ? 0 : occurrences.lastKey() + 1;
-        while (next < record.plan().occurrences() && record.plan().dueAtMs(next) <= wallMs) {
-            addOccurrence(next);
-            next++;
+        while (mNextOccurrence < record.plan().occurrences()
+                && record.plan().dueAtMs(mNextOccurrence) <= wallMs) {
+            addOccurrence(mNextOccurrence);
+            mNextOccurrence++;
             added = true;
         }
         return added;
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobKindsTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobKindsTest.java
@@ -13,10 +13,16 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.JobPlan;
 import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.ProgressRecord;
+import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.RunOutcome;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.WorkState;
+import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
 
 /** Timed jobs, long-running tasks, placement constraints and ended jobs. */
 class JobKindsTest {
@@ -68,7 +74,58 @@
                     .containsExactlyInAnyOrder(0, 1, 2);
         }
 
+        /**
+         * Guards against losing occurrences that were due, but behind a later one, at a takeover.
+         */
+        @Test
+        void newOwnerStartsOccurrencesBeforeAStartedOne() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.addWorker("w2", "r1");
+            submitTimedJob(3, mFixture.nowMs - 2 * INTERVAL_MS, onlyRunOf(2, "w2"));
+            mFixture.report("w2", List.of(new ActiveRun(run(2), "", 10, 0)), List.of());
+            assertThat(starts(mFixture.runRound()))
+                    .extracting(s -> s.run().task().occurrence())
+                    .containsExactlyInAnyOrder(0, 1);
+        }
+
+        /** Guards against completing a job of which only the last occurrence has run. */
+        @Test
+        void newOwnerCompletesTheJobOnlyAfterItsEarlierOccurrences() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.addWorker("w2", "r1");
+            submitTimedJob(2, mFixture.nowMs - INTERVAL_MS, onlyRunOf(1, "w2"));
+            mFixture.report("w2", List.of(), List.of(ended(1, run(1), RunOutcome.DONE)));
+            mFixture.saveAll();
+            assertThat(mScheduler.stateOf(JOB)).contains(WorkState.ACTIVE);
+            runToCompletion(1);
+            assertThat(mScheduler.stateOf(JOB)).contains(WorkState.COMPLETED);
+        }
+
+        private RunRef run(int occurrence) {
+            return new RunRef(new TaskRef(JOB, occurrence, 0, 0), 1);
+        }
+
+        private ProgressRecord onlyRunOf(int occurrence, String worker) {
+            return new ProgressRecord(
+                    WorkState.ACTIVE,
+                    List.of(
+                            new TaskProgress(
+                                    occurrence,
+                                    0,
+                                    0,
+                                    1,
+                                    0,
+                                    false,
+                                    new WorkerId(worker),
+                                    JobSchedulerFixture.INCARNATION,
+                                    "")));
+        }
+
         private void submitTimedJob(int times, long startAtMs) {
+            submitTimedJob(times, startAtMs, null);
+        }
+
+        private void submitTimedJob(int times, long startAtMs, ProgressRecord progress) {
             JobPlan plan =
                     new JobPlan(
                             "spec",
@@ -77,7 +134,7 @@
                             startAtMs,
                             INTERVAL_MS);
             JobRecord record = new JobRecord(BULK, JobSchedulerFixture.TEAM, plan, 0);
-            mScheduler.onJob(JOB, record, null, 0, mFixture.nowMs);
+            mScheduler.onJob(JOB, record, progress, 0, mFixture.nowMs);
         }
 
         private void runToCompletion(int endNumber) {
