Stop restored runs of ended jobs and broken gangs

Cause: a stop without effect yet is in the owner's memory only. The next owner restored the run of the ended job as unconfirmed, and its worker's report made it a running one. Only ClusterState.endJob stops the runs of an ended job, at the moment of its end.

Three of the six new tests failed before: two for ended jobs, one for a gang of which one member's end was saved before the owner was lost.

Ruled out: the worker, which has to refuse the earlier epoch; a lost record, as the run's lease was extended by the next owner.

Change: when a worker first reports a restored run, the run is stopped if its job has ended or if its gang is no longer whole, and the stop is repeated like any other. Other stops are decided again by the next owner anyway.

Conclusion: what an earlier owner had to stop follows from the records, so the next owner need not know whether it sent the stop.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -251,17 +251,37 @@
             return;
         }
         run.task.step.recordCheckpoint(run.task, running.checkpoint());
-        if (run.phase == Phase.STARTING || run.phase == Phase.UNCONFIRMED) {
+        boolean wasUnconfirmed = run.phase == Phase.UNCONFIRMED;
+        if (run.phase == Phase.STARTING || wasUnconfirmed) {
             run.phase = Phase.RUNNING;
             run.confirmedAtMs = nowMs;
             run.startedAtMs = nowMs;
             run.runningSinceMs = nowMs;
         }
+        if (wasUnconfirmed) {
+            stopIfObsolete(run, nowMs);
+        }
         run.reportedUsage = running.usage();
         run.progress.report(running.percent(), nowMs);
         observeDuration(run);
     }
 
+    /**
+     * Stops a restored run that an earlier owner had to stop, because its job has ended or its gang
+     * was broken. Stops without effect are not recorded.
+     */
+    private void stopIfObsolete(Run run, long nowMs) {
+        StepInstance step = run.task.step;
+        if (run.task.done) {
+            return;
+        }
+        if (step.job.state.isEnded()) {
+            mState.stopRun(run, StopReason.JOB_ENDED, nowMs);
+        } else if (step.plan.gang() && !step.isWhole(run.ref.attempt())) {
+            mState.stopGang(step, run.ref.attempt(), nowMs);
+        }
+    }
+
     /** Adds the duration that a run's progress shows to the observations of its step, once. */
     private static void observeDuration(Run run) {
         if (!run.durationObserved
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
@@ -86,6 +86,16 @@
         return found;
     }
 
+    /** Returns whether all tasks have a run of an attempt. */
+    boolean isWhole(int attempt) {
+        for (Task task : tasks) {
+            if (task.run == null || task.run.ref.attempt() != attempt) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     /** Returns whether some task is pending, or will be once its run has stopped. */
     boolean awaitsStart() {
         for (Task task : tasks) {
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -108,9 +108,14 @@
                 new RackId(rack));
     }
 
+    /** Adds a worker, which has not reported yet. */
+    void addWorkerEntry(String id, String rack) {
+        scheduler.onWorkerEntry(entry(id, rack, false), nowMs);
+    }
+
     /** Adds a worker and applies its first report, without runs. */
     void addWorker(String id, String rack) {
-        scheduler.onWorkerEntry(entry(id, rack, false), nowMs);
+        addWorkerEntry(id, rack);
         report(id, List.of(), List.of());
     }
 
--- /dev/null
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
@@ -0,0 +1,149 @@
+package org.lycheeroad.coordination.jobs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.BULK;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.INCARNATION;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.ended;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.stops;
+import static org.lycheeroad.coordination.jobs.StepBuilder.step;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.work.ProgressRecord;
+import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
+import org.lycheeroad.state.work.RunOutcome;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.TaskRef;
+import org.lycheeroad.state.work.WorkState;
+import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
+
+/** What the next owner does with the runs that saved progress lists. */
+class TakeoverTest {
+    private static final JobId JOB = new JobId("j1");
+
+    /** Longer than the time after which a stop without effect is repeated. */
+    private static final long STOP_RETRY_MS = 1_000;
+
+    private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
+
+    @Nested
+    class EndedJobs {
+        /** Guards against a run of a cancelled job that outlives the owner that had to stop it. */
+        @Test
+        void runOfACancelledJobIsStopped() {
+            restoreRunOn("w1", WorkState.CANCELLED);
+            assertThat(stops(mFixture.runRound()))
+                    .extracting(JobAction.Stop::run, JobAction.Stop::reason)
+                    .containsExactly(tuple(run(0), StopReason.JOB_ENDED));
+        }
+
+        /** Guards against a run that lasts because the stop of the next owner is lost too. */
+        @Test
+        void stopIsRepeatedUntilTheRunHasEnded() {
+            restoreRunOn("w1", WorkState.FAILED);
+            mFixture.runRound();
+            mFixture.nowMs += STOP_RETRY_MS;
+            reportRunning("w1", 0);
+            assertThat(stops(mFixture.runRound())).hasSize(1);
+            mFixture.report("w1", List.of(), List.of(ended(1, run(0), RunOutcome.STOPPED)));
+            mFixture.nowMs += STOP_RETRY_MS;
+            assertThat(mFixture.runRound()).isEmpty();
+            assertThat(mFixture.scheduler.mayHaveRuns(new WorkerId("w1"))).isFalse();
+        }
+
+        /** Guards against ending the work of jobs that have not ended. */
+        @Test
+        void runOfAnActiveJobContinues() {
+            restoreRunOn("w1", WorkState.ACTIVE);
+            assertThat(mFixture.runRound()).isEmpty();
+        }
+
+        private void restoreRunOn(String worker, WorkState state) {
+            mFixture.submit(
+                    "j1",
+                    BULK,
+                    new ProgressRecord(state, List.of(progress(0, worker))),
+                    step(1, 1, 1_000).longRunning().build());
+            mFixture.addWorkerEntry(worker, "r1");
+            reportRunning(worker, 0);
+        }
+    }
+
+    @Nested
+    class Gangs {
+        /** Guards against members that run on alone because an earlier owner's stop was lost. */
+        @Test
+        void membersOfABrokenGangAreStopped() {
+            restoreGangOn("w1", "w2", null);
+            assertThat(stops(mFixture.runRound()))
+                    .extracting(JobAction.Stop::run)
+                    .containsExactlyInAnyOrder(run(0), run(1));
+        }
+
+        /** Guards against a broken gang that never starts again. */
+        @Test
+        void brokenGangRestartsOnceItsMembersHaveEnded() {
+            restoreGangOn("w1", "w2", null);
+            mFixture.addWorker("w3", "r1");
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            mFixture.report("w1", List.of(), List.of(ended(1, run(0), RunOutcome.STOPPED)));
+            mFixture.report("w2", List.of(), List.of(ended(1, run(1), RunOutcome.STOPPED)));
+            assertThat(starts(mFixture.runRound()))
+                    .extracting(s -> s.run().attempt())
+                    .containsExactly(2, 2, 2);
+        }
+
+        /** Guards against breaking a gang that all its workers report. */
+        @Test
+        void wholeGangContinues() {
+            restoreGangOn("w1", "w2", "w3");
+            assertThat(mFixture.runRound()).isEmpty();
+        }
+
+        /** Restores a gang with one member a worker; null for a member whose run has ended. */
+        private void restoreGangOn(String... workers) {
+            List<TaskProgress> tasks = new ArrayList<>();
+            for (int i = 0; i < workers.length; i++) {
+                tasks.add(progress(i, workers[i]));
+            }
+            mFixture.submit(
+                    "j1",
+                    BULK,
+                    new ProgressRecord(WorkState.ACTIVE, tasks),
+                    step(workers.length, 8, 5_000).gang().build());
+            for (int i = 0; i < workers.length; i++) {
+                if (workers[i] != null) {
+                    mFixture.addWorkerEntry(workers[i], "r1");
+                    reportRunning(workers[i], i);
+                }
+            }
+        }
+    }
+
+    private void reportRunning(String worker, int index) {
+        mFixture.report(worker, List.of(new ActiveRun(run(index), "", 10, 0)), List.of());
+    }
+
+    private static RunRef run(int index) {
+        return new RunRef(new TaskRef(JOB, 0, 0, index), 1);
+    }
+
+    private static TaskProgress progress(int index, String worker) {
+        return new TaskProgress(
+                0,
+                0,
+                index,
+                1,
+                0,
+                false,
+                worker == null ? null : new WorkerId(worker),
+                worker == null ? 0 : INCARNATION,
+                "");
+    }
+}
