Place tasks beside runs on workers without an entry

Cause: a worker that left the directory before the takeover is known from saved progress only. Placement.placeBesideRunningTasks read the rack of its missing entry. The exception ended every scheduling pass before orders, saves and first polls, for as long as the recorded runs did not count as lapsed, and all leases expired before that.

Two new tests failed before with the NullPointerException in placeBesideRunningTasks; a third goes through the other kinds of steps and passed before.

Ruled out: the election, and other reads of a worker's entry, which are behind isSchedulable, registration or a departure time.

Change: a run on a worker without an entry does not tell a rack.

Conclusion: an absent worker can no longer fail a decision round.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -219,12 +219,15 @@
         return best;
     }
 
-    /** Places the pending tasks of a step on the rack where its other tasks run. */
+    /**
+     * Places the pending tasks of a step on the rack where its other tasks run. Workers that left
+     * the directory before this owner's term have no entry, so their rack is unknown.
+     */
     private static Map<Task, Worker> placeBesideRunningTasks(
             StepInstance step, List<Task> pending, List<Worker> eligible, long nowMs) {
         RackId rack = null;
         for (Task task : step.tasks) {
-            if (task.run != null) {
+            if (task.run != null && task.run.worker.entry != null) {
                 rack = task.run.worker.entry.rack();
             }
         }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -61,6 +61,10 @@
     /** The steps of which a run failed or stalled here since the last successful run. */
     public final Set<StepInstance> failedSteps = new HashSet<>();
 
+    /**
+     * The newest entry in the directory; null for a worker that is known only from saved progress.
+     * A worker for which {@link #isSchedulable} holds has an entry.
+     */
     public WorkerStatus entry;
 
     /**
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
@@ -4,9 +4,11 @@
 import static org.assertj.core.api.Assertions.tuple;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.BULK;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.INCARNATION;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.URGENT;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.ended;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.stops;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
 import static org.lycheeroad.coordination.jobs.StepBuilder.step;
 
 import java.util.ArrayList;
@@ -19,6 +21,7 @@
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
@@ -126,6 +129,75 @@
         }
     }
 
+    @Nested
+    class AbsentWorkers {
+        /**
+         * Guards against a decision round that fails, and so stops all work, because a run is on a
+         * worker that left the directory before the takeover.
+         */
+        @Test
+        void pendingTasksOfARackLocalStepStartBesideKnownRuns() {
+            mFixture.addWorker("w2", "r2");
+            restoreOn(step(3, 1, 5_000).rackLocal().build(), "w1", "gone");
+            mFixture.addWorkerEntry("w1", "r1");
+            reportRunning("w1", 0);
+            assertThat(workersOf(starts(mFixture.runRound()))).containsExactly("w1");
+        }
+
+        /** As above, with no run on a rack that is known. */
+        @Test
+        void pendingTasksOfARackLocalStepStartIfNoRackIsKnown() {
+            mFixture.addWorker("w1", "r1");
+            restoreOn(step(2, 1, 5_000).rackLocal().build(), "gone");
+            assertThat(starts(mFixture.runRound())).hasSize(1);
+        }
+
+        /** As above, for steps with other properties; their other tasks start. */
+        @Test
+        void roundHandlesARunOnAnAbsentWorkerForEveryKindOfStep() {
+            List<StepBuilder> kinds =
+                    List.of(
+                            step(2, 1, 5_000),
+                            step(2, 1, 5_000).dataRack("r1"),
+                            step(2, 1, 5_000).dataRack("r1").rackLocal(),
+                            step(2, 1, 5_000).label("r1"),
+                            step(2, 1, 5_000).checkpointing(),
+                            step(2, 1, 5_000).longRunning(),
+                            step(2, 1, 5_000).serves(100),
+                            step(2, 1, 5_000).fills());
+            for (StepBuilder kind : kinds) {
+                JobSchedulerFixture fixture = new JobSchedulerFixture();
+                fixture.addWorker("w1", "r1");
+                fixture.submit(
+                        "j1",
+                        URGENT,
+                        new ProgressRecord(WorkState.ACTIVE, List.of(progress(0, "gone"))),
+                        kind.build());
+                assertThat(starts(fixture.runRound())).as("%s", kind.build()).hasSize(1);
+            }
+        }
+
+        /** Guards against a gang that is started again while a member may still run. */
+        @Test
+        void gangWaitsForTheLeaseOfItsAbsentMember() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.addWorker("w2", "r1");
+            restoreOn(step(2, 8, 5_000).gang().rackLocal().build(), "w1", "gone");
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            mFixture.scheduler.onLeaseExpired(new WorkerId("gone"), mFixture.nowMs);
+            mFixture.report("w1", List.of(), List.of());
+            assertThat(starts(mFixture.runRound())).hasSize(2);
+        }
+
+        private void restoreOn(StepPlan plan, String... workers) {
+            List<TaskProgress> tasks = new ArrayList<>();
+            for (int i = 0; i < workers.length; i++) {
+                tasks.add(progress(i, workers[i]));
+            }
+            mFixture.submit("j1", BULK, new ProgressRecord(WorkState.ACTIVE, tasks), plan);
+        }
+    }
+
     private void reportRunning(String worker, int index) {
         mFixture.report(worker, List.of(new ActiveRun(run(index), "", 10, 0)), List.of());
     }
