Reclaim guaranteed accelerators from urgent borrowers

Cause: CapacityReclaimer preempted only runs of a queue with a lower priority, also for a guaranteed step. Nothing took accelerators back from urgent jobs beyond their team's guarantee.

Ruled out: the choice of guaranteed jobs, which was right in this case, and the bound on lost work, which is lifted 1.3 s before the bound on the start.

Change: when a guaranteed step is due and runs of lower priority do not suffice, runs of other teams' urgent borrowers are stopped too, and tasks with may_miss as far as their step allows. Which jobs are guaranteed follows from their stored times of acceptance; it depended on the order in which an owner had added them, which a takeover changed.

Open, in docs/UNPROVED.md: may_miss tasks beyond the number that may be away, and guaranteed jobs that fragment the workers.

--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
@@ -182,7 +182,11 @@
         job.withinGuarantee = fitsGuarantee(job);
         JobPlan plan = new JobPlan("", List.of(job.step), 0, 0, 0);
         mScheduler.onJob(
-                job.id, new JobRecord(job.jobClass.queue(), job.team, plan, 0), null, 0, mNowMs);
+                job.id,
+                new JobRecord(job.jobClass.queue(), job.team, plan, mNowMs),
+                null,
+                0,
+                mNowMs);
     }
 
     private boolean fitsGuarantee(SimulatedJob added) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
@@ -1,6 +1,7 @@
 package org.lycheeroad.coordination.jobs;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -13,8 +14,8 @@
 import org.lycheeroad.state.work.Resources;
 
 /**
- * Obtains resources for steps that do not fit, either by preempting runs of lower priority or by
- * reserving what running tasks will free.
+ * Obtains resources for steps that do not fit, either by preempting runs of lower priority, or of
+ * borrowers for guaranteed steps, or by reserving what running tasks will free.
  *
  * <p>Workers are chosen so that the least work is lost or the wait is shortest, within one rack for
  * rack-local steps. Their resources are reserved for the step until the runs there have ended.
@@ -37,6 +38,9 @@
     /** The number of cores that one accelerator is counted as in costs. */
     private static final double CORES_PER_ACCELERATOR = 8;
 
+    /** The progress of a long-running task that is at work. */
+    private static final int FULL_PERCENT = 100;
+
     /** Decides which runs may free their resources for a step, and at which cost. */
     private interface ReleaseStrategy {
         boolean canRelease(StepInstance step, Run run);
@@ -73,7 +77,8 @@
     }
 
     /**
-     * Preempts runs for a step's pending tasks and reserves the freed resources for them.
+     * Preempts runs of lower priority for a step's pending tasks and reserves the freed resources
+     * for them.
      *
      * @param allowRemote whether the tasks may run on other racks than their data or across racks
      * @param maxLossCoreMs the most work that may be lost, in core-milliseconds
@@ -86,16 +91,38 @@
             long nowMs) {
         ReclaimPlan best = cheapestPlan(step, pending, allowRemote, mPreemption, nowMs);
         if (best != null && best.cost <= maxLossCoreMs) {
-            mState.dropReservations(step);
-            best.taskCounts.forEach(
-                    (w, n) ->
-                            w.reservations.add(
-                                    new Reservation(step, n, true, nowMs + RESERVATION_MS)));
-            for (Run victim : best.victims) {
-                mState.stopRun(victim, StopReason.RECLAIMED, nowMs);
-                if (victim.task.step.plan.gang()) {
-                    mState.stopGang(victim.task.step, victim.ref.attempt(), nowMs);
-                }
+            execute(best, step, nowMs);
+        }
+    }
+
+    /**
+     * As {@link #preempt} for a step of a guaranteed job, whatever work is lost, and also from
+     * other teams' urgent jobs beyond their guarantees.
+     *
+     * @param guaranteedJobs the urgent jobs within their teams' guarantees
+     */
+    void reclaim(
+            StepInstance step,
+            List<Task> pending,
+            boolean allowRemote,
+            Set<Job> guaranteedJobs,
+            long nowMs) {
+        ReleaseStrategy strategy = new GuaranteeReclaim(guaranteedJobs);
+        ReclaimPlan best = cheapestPlan(step, pending, allowRemote, strategy, nowMs);
+        if (best != null) {
+            execute(best, step, nowMs);
+        }
+    }
+
+    private void execute(ReclaimPlan plan, StepInstance step, long nowMs) {
+        mState.dropReservations(step);
+        plan.taskCounts.forEach(
+                (w, n) ->
+                        w.reservations.add(new Reservation(step, n, true, nowMs + RESERVATION_MS)));
+        for (Run victim : plan.victims) {
+            mState.stopRun(victim, StopReason.RECLAIMED, nowMs);
+            if (victim.task.step.plan.gang()) {
+                mState.stopGang(victim.task.step, victim.ref.attempt(), nowMs);
             }
         }
     }
@@ -225,7 +252,8 @@
         double cost = 0;
         if (!need.fitsIn(remaining)) {
             for (ReleasableRun releasable : runs) {
-                if (victims.containsKey(releasable.run)) {
+                if (victims.containsKey(releasable.run)
+                        || !keepsEnoughAtWork(releasable.run, victims.keySet(), chosen)) {
                     continue;
                 }
                 remaining = remaining.plus(releasable.run.resources);
@@ -254,6 +282,32 @@
         return runs;
     }
 
+    /**
+     * Returns whether a run may end beside other victims without more tasks of its step being away
+     * than the step allows.
+     */
+    private static boolean keepsEnoughAtWork(
+            Run run, Collection<Run> victims, Collection<Run> chosen) {
+        StepInstance step = run.task.step;
+        if (step.plan.mayMiss() == 0) {
+            return true;
+        }
+        int away = 0;
+        for (Task task : step.tasks) {
+            if (!isAtWork(task) || victims.contains(task.run) || chosen.contains(task.run)) {
+                away++;
+            }
+        }
+        return away < step.plan.mayMiss();
+    }
+
+    /** Returns whether a long-running task has started up. */
+    private static boolean isAtWork(Task task) {
+        return task.run != null
+                && task.run.phase == Phase.RUNNING
+                && task.run.progress.percent() >= FULL_PERCENT;
+    }
+
     private static Resources stoppingResources(Worker worker) {
         Resources total = Resources.NONE;
         for (Run run : worker.runs.values()) {
@@ -281,13 +335,27 @@
 
         @Override
         public double releaseCost(Run run, long nowMs) {
-            StepInstance step = run.task.step;
-            long lostMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
-            if (step.plan.checkpointing()) {
-                lostMs = Math.min(lostMs, MAX_CHECKPOINTED_LOSS_MS);
-            }
-            double loss = coreEquivalents(run.resources) * (lostMs + 1);
-            return step.plan.gang() ? loss * step.plan.count() : loss;
+            return lostCoreMs(run, nowMs);
+        }
+    }
+
+    /** Stops runs that borrow guaranteed resources; the cost is the lost work. */
+    private static final class GuaranteeReclaim implements ReleaseStrategy {
+        private final Set<Job> mGuaranteedJobs;
+
+        GuaranteeReclaim(Set<Job> guaranteedJobs) {
+            mGuaranteedJobs = guaranteedJobs;
+        }
+
+        @Override
+        public boolean canRelease(StepInstance step, Run run) {
+            return TeamGuarantees.mayReclaimFrom(run.task.step.job, step.job, mGuaranteedJobs)
+                    && !run.task.done;
+        }
+
+        @Override
+        public double releaseCost(Run run, long nowMs) {
+            return lostCoreMs(run, nowMs);
         }
     }
 
@@ -305,6 +373,17 @@
         }
     }
 
+    /** Returns the work that is lost if a run is stopped, in core-milliseconds. */
+    private static double lostCoreMs(Run run, long nowMs) {
+        StepInstance step = run.task.step;
+        long lostMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
+        if (step.plan.checkpointing()) {
+            lostMs = Math.min(lostMs, MAX_CHECKPOINTED_LOSS_MS);
+        }
+        double loss = coreEquivalents(run.resources) * (lostMs + 1);
+        return step.plan.gang() ? loss * step.plan.count() : loss;
+    }
+
     private static double coreEquivalents(Resources resources) {
         return resources.cpuMillis() / 1_000.0 + resources.accelerators() * CORES_PER_ACCELERATOR;
     }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -3,11 +3,9 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.lycheeroad.state.id.TeamId;
 import org.lycheeroad.state.work.Resources;
 
 /**
@@ -74,7 +72,7 @@
     void run(long nowMs, long wallMs) {
         mReclaimer.dropExpiredReservations(nowMs);
         List<StepInstance> ready = readySteps(nowMs, wallMs);
-        Set<Job> guaranteed = guaranteedJobs();
+        Set<Job> guaranteed = TeamGuarantees.guaranteedJobs(mState);
         Map<StepInstance, SchedulingOrder.Rank> ranks = new HashMap<>();
         for (StepInstance step : ready) {
             boolean guaranteedStep = step.index == 0 && guaranteed.contains(step.job);
@@ -83,7 +81,7 @@
         ready.sort(Comparator.comparing(ranks::get));
         mReservedSteps = 0;
         for (StepInstance step : ready) {
-            placeStep(step, guaranteed.contains(step.job), nowMs, wallMs);
+            placeStep(step, guaranteed, nowMs, wallMs);
         }
     }
 
@@ -105,33 +103,8 @@
         return ready;
     }
 
-    /** Returns the urgent jobs within their teams' guarantees; older jobs are counted first. */
-    private Set<Job> guaranteedJobs() {
-        Map<TeamId, Integer> used = new HashMap<>();
-        Set<Job> guaranteed = new HashSet<>();
-        for (Job job : mState.activeJobs.values()) {
-            if (job.queue.priority() == 0) {
-                int need = used.merge(job.record.team(), maxAccelerators(job), Integer::sum);
-                if (need <= mState.config.guaranteedAccelerators(job.record.team())) {
-                    guaranteed.add(job);
-                } else {
-                    used.merge(job.record.team(), -maxAccelerators(job), Integer::sum);
-                }
-            }
-        }
-        return guaranteed;
-    }
-
-    /** Returns the largest number of accelerators that a step of a job needs. */
-    private static int maxAccelerators(Job job) {
-        int max = 0;
-        for (var step : job.record.plan().steps()) {
-            max = Math.max(max, step.count() * step.need().accelerators());
-        }
-        return max;
-    }
-
-    private void placeStep(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
+    private void placeStep(StepInstance step, Set<Job> guaranteedJobs, long nowMs, long wallMs) {
+        boolean guaranteed = guaranteedJobs.contains(step.job);
         List<Task> tasks = step.startableTasks();
         if (tasks.isEmpty()) {
             return;
@@ -161,6 +134,9 @@
             if (maxLossCoreMs >= 0) {
                 mReclaimer.preempt(step, step.startableTasks(), allowRemote, maxLossCoreMs, nowMs);
             }
+            if (isReclaimDue(step, guaranteed, nowMs) && !mReclaimer.hasPreemptedFor(step)) {
+                mReclaimer.reclaim(step, step.startableTasks(), allowRemote, guaranteedJobs, nowMs);
+            }
             if (shouldReserve(step, nowMs)) {
                 mReservedSteps++;
                 mReclaimer.reserve(step, step.startableTasks(), allowRemote, nowMs);
@@ -198,7 +174,7 @@
      * if the step must not preempt.
      */
     private double maxLossCoreMs(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
-        if (guaranteed && nowMs - step.readySinceMs >= mSettings.reclaimMs() - MAX_PREEMPTION_MS) {
+        if (isReclaimDue(step, guaranteed, nowMs)) {
             return Double.MAX_VALUE;
         }
         if (step.job.queue.priority() > 0) {
@@ -212,6 +188,11 @@
                 : -1;
     }
 
+    /** Returns whether a step has to obtain its resources now to start within its guarantee. */
+    private boolean isReclaimDue(StepInstance step, boolean guaranteed, long nowMs) {
+        return guaranteed && nowMs - step.readySinceMs >= mSettings.reclaimMs() - MAX_PREEMPTION_MS;
+    }
+
     /** Returns whether a gang should reserve resources, so that smaller steps do not take them. */
     private boolean shouldReserve(StepInstance step, long nowMs) {
         if (!step.plan.gang()
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -37,6 +37,7 @@
     static final QueueName ADVISED = new QueueName("advised");
 
     static final TeamId TEAM = new TeamId("team");
+    static final TeamId OTHER_TEAM = new TeamId("other");
     static final int MAX_ATTEMPTS = 3;
     static final int GUARANTEED_ACCELERATORS = 16;
     static final long INCARNATION = 1_000;
@@ -54,7 +55,9 @@
         return new ClusterConfig(
                 1,
                 List.of(queue(URGENT, 0, 1.5, 600), queue(BULK, 1, 3, 1_500), advisedQueue()),
-                List.of(new TeamConfig(TEAM, List.of("key"), GUARANTEED_ACCELERATORS)));
+                List.of(
+                        new TeamConfig(TEAM, List.of("key"), GUARANTEED_ACCELERATORS),
+                        new TeamConfig(OTHER_TEAM, List.of("key2"), GUARANTEED_ACCELERATORS)));
     }
 
     private static QueueConfig advisedQueue() {
@@ -128,6 +131,13 @@
         scheduler.onJob(new JobId(job), new JobRecord(queue, TEAM, plan, 0), progress, 0, nowMs);
     }
 
+    /** Submits a job of a team that was accepted at some time. */
+    void submit(String job, QueueName queue, TeamId team, long acceptedAtMs, StepPlan... steps) {
+        JobPlan plan = new JobPlan("spec", List.of(steps), 0, 0, 0);
+        JobRecord record = new JobRecord(queue, team, plan, acceptedAtMs);
+        scheduler.onJob(new JobId(job), record, null, 0, nowMs);
+    }
+
     /** Runs a decision round, saves all progress and returns the orders. */
     List<JobAction> runRound() {
         return runRound(true);
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/StepBuilder.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/StepBuilder.java
@@ -17,6 +17,7 @@
     private boolean mLongRunning;
     private boolean mFills;
     private long mTailTargetMs;
+    private int mMayMiss;
 
     private StepBuilder(int count, Resources need, long estimateMs) {
         mCount = count;
@@ -64,6 +65,13 @@
         return this;
     }
 
+    /** Makes the tasks long-running; some of them may be kept from running at a time. */
+    StepBuilder mayMiss(int count) {
+        mLongRunning = true;
+        mMayMiss = count;
+        return this;
+    }
+
     StepBuilder fills() {
         mFills = true;
         return this;
@@ -85,7 +93,7 @@
                 mLongRunning,
                 mFills,
                 mTailTargetMs,
-                0,
+                mMayMiss,
                 "");
     }
 }
