Poll workers even if a decision round fails

Cause: OwnerSession.runSchedulingPass polled workers after its decisions, so any error in the decisions stopped the first poll of every worker of a new owner and of every worker that registered later.

Evidence: OwnerSessionTest has a worker whose entry fails every round. Before the change a worker that registered then was not polled within 5 s of virtual and real time; after it, it is polled at once.

Ruled out: polls that follow each other by their own timers, which went on before as well.

Change: polls are sent and the pass is paced whether the decisions succeed or not. Starts, stops and saves wait for a round without an error.

Conclusion: an unexpected error in the decisions costs new starts, not the work that runs.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -172,6 +172,16 @@
         if (mConfigVersion < 0 || !mTerm.isLeaseValid()) {
             return;
         }
+        try {
+            makeDecisions();
+        } finally {
+            // The work of sound workers continues under its leases even if a decision fails.
+            mWorkerSessions.values().forEach(WorkerSession::pollIfDue);
+            mPassPacer.onPass(startedAtMs, mClock.monotonicMs());
+        }
+    }
+
+    private void makeDecisions() {
         mWorkerSessions.values().forEach(WorkerSession::checkLeaseExpiry);
         expireLeasesOfAbsentWorkers();
         removeDepartedWorkers();
@@ -189,8 +199,6 @@
                         save();
                     });
         }
-        mWorkerSessions.values().forEach(WorkerSession::pollIfDue);
-        mPassPacer.onPass(startedAtMs, mClock.monotonicMs());
     }
 
     /** Wakes the executor up for a pass, which runs when its queue is empty. */
--- /dev/null
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -0,0 +1,292 @@
+package org.lycheeroad.scheduler.owner;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.lycheeroad.coordination.jobs.OrderAnswer;
+import org.lycheeroad.protocol.json.Json;
+import org.lycheeroad.scheduler.NodeSettings;
+import org.lycheeroad.scheduler.SerialExecutor;
+import org.lycheeroad.scheduler.StoreKeys;
+import org.lycheeroad.scheduler.config.ConfigCache;
+import org.lycheeroad.scheduler.log.EventRecorder;
+import org.lycheeroad.scheduler.log.NodeMetrics;
+import org.lycheeroad.scheduler.peer.PeerClient;
+import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.scheduler.port.PlatformSchema;
+import org.lycheeroad.scheduler.port.WorkerGateway;
+import org.lycheeroad.state.id.EntryId;
+import org.lycheeroad.state.id.FailureDomainId;
+import org.lycheeroad.state.id.JobId;
+import org.lycheeroad.state.id.RackId;
+import org.lycheeroad.state.id.RegionId;
+import org.lycheeroad.state.id.TeamId;
+import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.time.HybridClock;
+import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.ClusterConfig;
+import org.lycheeroad.state.work.JobPlan;
+import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.QueueConfig;
+import org.lycheeroad.state.work.QueueName;
+import org.lycheeroad.state.work.Resources;
+import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.ServiceName;
+import org.lycheeroad.state.work.StepPlan;
+import org.lycheeroad.state.work.WorkerRuns;
+import org.lycheeroad.state.work.WorkerStatus;
+import org.lycheeroad.transport.events.EventLog;
+
+class OwnerSessionTest {
+    private static final HostPort ADDRESS = new HostPort("127.0.0.1", 1);
+    private static final String CONFIG_KEY = "config";
+    private static final String WORKER_PREFIX = "workers/";
+    private static final QueueName QUEUE = new QueueName("queue");
+    private static final ServiceName SERVICE = new ServiceName("service");
+
+    /** A worker whose entry makes every decision round fail once the worker has answered. */
+    private static final String BROKEN = "broken";
+
+    private static final String LATER = "later";
+    private static final long BORN_MS = 1_000;
+    private static final long TIMEOUT_MS = 5_000;
+
+    private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
+    private final SerialExecutor mExecutor = new SerialExecutor("test", mTimers);
+    private final FakeStore mStore = new FakeStore();
+    private final CountingGateway mGateway = new CountingGateway();
+    private final ManualClock mClock = new ManualClock();
+
+    @BeforeEach
+    void setUp() {
+        EventRecorder events =
+                new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16));
+        ConfigCache config =
+                new ConfigCache(
+                        mStore,
+                        mExecutor,
+                        new FakeSchema(),
+                        new PeerClient(null, ADDRESS, Optional::empty, List.of()),
+                        mClock,
+                        events);
+        Term term = new Term(1, 10, 1, mClock);
+        term.extendLease(mClock.monotonicMs() + 100_000);
+        OwnerSession session =
+                new OwnerSession(
+                        mStore,
+                        mGateway,
+                        (question, timeoutMs) -> new CompletableFuture<>(),
+                        new FakeSchema(),
+                        config,
+                        mExecutor,
+                        term,
+                        settings(),
+                        mClock,
+                        events,
+                        new NodeMetrics(),
+                        () -> {});
+        mExecutor.setIdleAction(session::runSchedulingPass);
+        mExecutor.start();
+        mExecutor.execute(config::start);
+        mExecutor.execute(session::start);
+    }
+
+    @AfterEach
+    void tearDown() {
+        mExecutor.stop();
+        mTimers.shutdownNow();
+    }
+
+    /**
+     * Guards against one error in the decisions that ends the work of all workers: a worker that is
+     * never polled loses its lease.
+     */
+    @Test
+    void workersArePolledEvenIfTheDecisionRoundFails() throws Exception {
+        await(() -> mGateway.pollCount(BROKEN) >= 1);
+        mStore.register(LATER);
+        await(() -> mGateway.pollCount(LATER) >= 1);
+        assertThat(mGateway.mStarts).hasValue(0);
+    }
+
+    private interface Condition {
+        boolean holds();
+    }
+
+    private void await(Condition condition) throws InterruptedException {
+        long deadlineMs = System.currentTimeMillis() + TIMEOUT_MS;
+        while (!condition.holds()) {
+            assertThat(System.currentTimeMillis()).as("time").isLessThan(deadlineMs);
+            mClock.advance(10);
+            Thread.sleep(10);
+        }
+    }
+
+    private static NodeSettings settings() {
+        return new NodeSettings(
+                new EntryId("vm"),
+                new RegionId("region"),
+                new FailureDomainId("domain"),
+                ADDRESS,
+                List.of(),
+                6_000,
+                2_700,
+                3,
+                120_000,
+                6_000,
+                1_000,
+                0);
+    }
+
+    /** A store with one job and one worker, to which a test adds another. */
+    private static final class FakeStore implements MetadataStore {
+        private final CompletableFuture<WatchResponse> mWorkerWatch = new CompletableFuture<>();
+
+        private void register(String worker) {
+            KeyValue entry = new KeyValue(WORKER_PREFIX + worker, ByteString.EMPTY, 2, 0);
+            mWorkerWatch.complete(new WatchResponse(List.of(new Change(entry.key(), entry)), 2));
+        }
+
+        @Override
+        public CompletableFuture<Page> list(String prefix, String afterKey) {
+            List<KeyValue> page = new ArrayList<>();
+            if (prefix.equals(CONFIG_KEY)) {
+                page.add(new KeyValue(CONFIG_KEY, ByteString.EMPTY, 1, 0));
+            } else if (prefix.equals(WORKER_PREFIX)) {
+                page.add(new KeyValue(WORKER_PREFIX + BROKEN, ByteString.EMPTY, 1, 0));
+            } else if (prefix.equals(StoreKeys.INTAKE_PREFIX)) {
+                StepPlan step = StepPlan.unconstrained(1, Resources.NONE, 1_000);
+                JobPlan plan = new JobPlan("spec", List.of(step), 0, 0, 0);
+                JobRecord job = new JobRecord(QUEUE, new TeamId("team"), plan, 0);
+                page.add(
+                        new KeyValue(
+                                StoreKeys.jobKey(new JobId("j1")),
+                                ByteString.copyFromUtf8(Json.write(job)),
+                                1,
+                                0));
+            }
+            return CompletableFuture.completedFuture(new Page(page, false, 1));
+        }
+
+        @Override
+        public CompletableFuture<WatchResponse> watch(
+                String prefix, long afterRevision, long waitMs, long slackMs) {
+            return prefix.equals(WORKER_PREFIX) && afterRevision == 1
+                    ? mWorkerWatch
+                    : new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Optional<KeyValue>> read(String key) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+
+        @Override
+        public CompletableFuture<CommitResult> commit(Transaction transaction) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Long> grantLease(long ttlMs) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Boolean> renewLease(long leaseId) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Boolean> revokeLease(long leaseId) {
+            return new CompletableFuture<>();
+        }
+    }
+
+    private static final class FakeSchema implements PlatformSchema {
+        @Override
+        public String configKey() {
+            return CONFIG_KEY;
+        }
+
+        @Override
+        public String workerKeyPrefix() {
+            return WORKER_PREFIX;
+        }
+
+        @Override
+        public ClusterConfig parseConfig(ByteString value) {
+            QueueConfig queue =
+                    new QueueConfig(QUEUE, "host", "/", SERVICE, 0, 1, 1.5, 600, false, null);
+            return new ClusterConfig(1, List.of(queue), List.of());
+        }
+
+        @Override
+        public WorkerStatus parseWorker(String key, ByteString value) {
+            String id = key.substring(WORKER_PREFIX.length());
+            return new WorkerStatus(
+                    new WorkerId(id),
+                    BORN_MS,
+                    ADDRESS,
+                    SERVICE,
+                    false,
+                    0,
+                    id.equals(BROKEN) ? null : new Resources(1_000, 1_000, 1),
+                    Set.of(),
+                    new RackId("r1"));
+        }
+    }
+
+    /** Answers all polls with an empty report, and counts them. */
+    private static final class CountingGateway implements WorkerGateway {
+        private final Map<WorkerId, Integer> mPolls = new ConcurrentHashMap<>();
+        private final AtomicInteger mStarts = new AtomicInteger();
+
+        private int pollCount(String worker) {
+            return mPolls.getOrDefault(new WorkerId(worker), 0);
+        }
+
+        @Override
+        public CompletableFuture<OrderAnswer> start(
+                WorkerEndpoint endpoint,
+                RunRef run,
+                String spec,
+                String checkpoint,
+                String ticket,
+                long leaseUntilMs) {
+            mStarts.incrementAndGet();
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<OrderAnswer> stop(WorkerEndpoint endpoint, RunRef run) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<OrderAnswer> throttle(
+                WorkerEndpoint endpoint, RunRef run, int percent) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<PollReply> poll(
+                WorkerEndpoint endpoint, long acknowledgedEnd, long leaseUntilMs, long waitMs) {
+            mPolls.merge(endpoint.workerId(), 1, Integer::sum);
+            WorkerRuns runs = new WorkerRuns(BORN_MS, BORN_MS, List.of(), List.of());
+            return CompletableFuture.completedFuture(new PollReply(OrderAnswer.ACCEPTED, runs));
+        }
+    }
+}
