Explore repeated and cancelled jobs under faults

Change: a second workload with both kinds, on 300 seeds; the simulation also checks that no run outlasts its job by more than the time for a cancellation and a stop. The first workload draws the same random numbers as before. Simulated gangs count their members per occurrence.

--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultExplorationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultExplorationTest.java
@@ -7,12 +7,13 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.coordination.jobs.FaultSimulation.Defect;
+import org.lycheeroad.coordination.jobs.FaultSimulation.Workload;
 
 /**
  * Simulates owner changes, late orders, lost answers and partitioned workers with fixed seeds.
  *
  * <p>Checked invariants: a task has at most one run at a time, no run starts after its task's
- * success was acknowledged, and every accepted job ends.
+ * success was acknowledged, every accepted job ends, and no run outlasts its job.
  */
 class FaultExplorationTest {
     private static final int SEEDS = 300;
@@ -21,10 +22,14 @@
     private static final long FAULT_PERIOD_MS = 30_000;
 
     private static List<String> explore(Defect defect, int seeds) {
+        return explore(defect, Workload.SINGLE_RUNS, seeds);
+    }
+
+    private static List<String> explore(Defect defect, Workload workload, int seeds) {
         List<String> violations = new ArrayList<>();
         for (int seed = 0; seed < seeds; seed++) {
             List<String> found =
-                    new FaultSimulation(seed, WORKERS, defect).run(JOBS, FAULT_PERIOD_MS);
+                    new FaultSimulation(seed, WORKERS, defect, workload).run(JOBS, FAULT_PERIOD_MS);
             if (!found.isEmpty()) {
                 violations.add("seed " + seed + ": " + found.get(0));
             }
@@ -38,6 +43,12 @@
         assertThat(explore(Defect.NONE, SEEDS)).isEmpty();
     }
 
+    /** Guards against occurrences that are lost, and runs that outlast a cancelled job. */
+    @Test
+    void invariantsHoldForRepeatedAndCancelledJobs() {
+        assertThat(explore(Defect.NONE, Workload.REPEATED_AND_CANCELLED, SEEDS)).isEmpty();
+    }
+
     /** Each injected defect must be detected; otherwise the simulation would prove nothing. */
     @Nested
     class InjectedDefects {
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultSimulation.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultSimulation.java
@@ -17,6 +17,7 @@
 import org.lycheeroad.state.work.ProgressRecord;
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.WorkerRuns;
 import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
@@ -32,6 +33,17 @@
     private static final long LEASE_EXPIRY_MS = 6_600;
     private static final long TICK_MS = 20;
 
+    /** How long after all jobs have ended a run may last: cancellation takes 3 s, a stop 200 ms. */
+    private static final long MAX_RUN_AFTER_END_MS = 3_200;
+
+    /** The jobs of a simulation. */
+    enum Workload {
+        /** Jobs whose steps run once. */
+        SINGLE_RUNS,
+        /** Jobs with several occurrences, and long-running jobs that are cancelled. */
+        REPEATED_AND_CANCELLED
+    }
+
     /** A defect that is injected to show that the checks detect it. */
     enum Defect {
         NONE,
@@ -68,12 +80,14 @@
 
     private final Random mRandom;
     private final Defect mDefect;
+    private final Workload mWorkload;
     private final Map<WorkerId, SimulatedWorker> mWorkers = new LinkedHashMap<>();
 
     /** When the owner takes a worker's leases as expired. */
     private final Map<WorkerId, Long> mLeaseExpiryMs = new HashMap<>();
 
     private final Map<JobId, JobRecord> mAcceptedJobs = new LinkedHashMap<>();
+    private final Set<JobId> mCancelledJobs = new HashSet<>();
     private final Map<JobId, ProgressRecord> mSavedProgress = new HashMap<>();
 
     /** Tasks whose success was acknowledged, so that the worker has forgotten it. */
@@ -91,9 +105,10 @@
     private long mEpoch;
     private JobScheduler mScheduler;
 
-    FaultSimulation(long seed, int workers, Defect defect) {
+    FaultSimulation(long seed, int workers, Defect defect, Workload workload) {
         mRandom = new Random(seed);
         mDefect = defect;
+        mWorkload = workload;
         for (int i = 0; i < workers; i++) {
             mWorkers.put(new WorkerId("w" + i), new SimulatedWorker());
         }
@@ -127,7 +142,23 @@
         }
         if (!haveAllJobsEnded()) {
             mViolations.add("accepted jobs have not ended");
+            return mViolations;
+        }
+        long allowedUntilMs = mNowMs + MAX_RUN_AFTER_END_MS;
+        while (mNowMs < allowedUntilMs) {
+            tick(false);
         }
+        mWorkers.forEach(
+                (id, worker) ->
+                        worker.mRunning
+                                .values()
+                                .forEach(
+                                        run ->
+                                                mViolations.add(
+                                                        run
+                                                                + " runs on "
+                                                                + id
+                                                                + " after its job")));
         return mViolations;
     }
 
@@ -143,6 +174,13 @@
 
     private void submitJob(int number) {
         JobId id = new JobId(String.format("%016x", number));
+        if (mWorkload == Workload.REPEATED_AND_CANCELLED) {
+            submit(id, mRandom.nextBoolean() ? repeatedPlan() : longRunningPlan());
+            if (isLongRunning(id)) {
+                schedule(mNowMs + mRandom.nextInt(8_000), () -> cancel(id));
+            }
+            return;
+        }
         boolean gang = mRandom.nextBoolean();
         int count = 1 + mRandom.nextInt(3);
         long estimateMs = 100L + mRandom.nextInt(2_000);
@@ -156,12 +194,45 @@
                         0,
                         0,
                         0);
+        submit(id, plan);
+    }
+
+    private JobPlan repeatedPlan() {
+        int count = 1 + mRandom.nextInt(3);
+        long estimateMs = 100L + mRandom.nextInt(2_000);
+        StepPlan step =
+                mRandom.nextBoolean()
+                        ? JobSchedulerFixture.gang(count, 4, estimateMs, false)
+                        : JobSchedulerFixture.tasks(count, 4, estimateMs);
+        return new JobPlan(
+                "spec",
+                List.of(step),
+                2 + mRandom.nextInt(4),
+                mNowMs + mRandom.nextInt(2_000),
+                500 + mRandom.nextInt(3_000));
+    }
+
+    private JobPlan longRunningPlan() {
+        StepPlan step = StepBuilder.step(1 + mRandom.nextInt(3), 2, 1_000).longRunning().build();
+        return new JobPlan("spec", List.of(step), 0, 0, 0);
+    }
+
+    private boolean isLongRunning(JobId id) {
+        return mAcceptedJobs.get(id).plan().steps().get(0).longRunning();
+    }
+
+    private void submit(JobId id, JobPlan plan) {
         JobRecord record =
                 new JobRecord(JobSchedulerFixture.BULK, JobSchedulerFixture.TEAM, plan, mNowMs);
         mAcceptedJobs.put(id, record);
         mScheduler.onJob(id, record, null, 0, mNowMs);
     }
 
+    private void cancel(JobId id) {
+        mCancelledJobs.add(id);
+        mScheduler.onCancel(id, mNowMs);
+    }
+
     /** Replaces the owner; orders of the old one may still be in transit. */
     private void replaceOwner() {
         mEpoch++;
@@ -169,6 +240,7 @@
         mScheduler.onConfig(JobSchedulerFixture.config());
         mAcceptedJobs.forEach(
                 (id, record) -> mScheduler.onJob(id, record, mSavedProgress.get(id), 0, mNowMs));
+        mCancelledJobs.forEach(id -> mScheduler.onCancel(id, mNowMs));
         for (WorkerId id : mWorkers.keySet()) {
             mScheduler.onWorkerEntry(JobSchedulerFixture.entry(id.value(), "r1", false), mNowMs);
             mLeaseExpiryMs.put(
@@ -331,7 +403,11 @@
         worker.mLeaseUntilMs = Math.max(worker.mLeaseUntilMs, expiresAtMs);
         worker.mHighestAttempts.put(run.task(), run.attempt());
         worker.mRunning.put(run.task(), run);
-        worker.mEndTimesMs.put(run.task(), mNowMs + 50 + mRandom.nextInt(3_000));
+        worker.mEndTimesMs.put(
+                run.task(),
+                isLongRunning(run.task().job())
+                        ? Long.MAX_VALUE
+                        : mNowMs + 50 + mRandom.nextInt(3_000));
         return OrderAnswer.ACCEPTED;
     }
 
@@ -378,6 +454,7 @@
         for (SimulatedWorker other : mWorkers.values()) {
             for (RunRef member : other.mRunning.values()) {
                 if (member.task().job().equals(run.task().job())
+                        && member.task().occurrence() == run.task().occurrence()
                         && member.attempt() == run.attempt()) {
                     holders.add(other);
                     members.add(member);
