Count tasks on silent workers as away before a reclaim

Cause: the rule that keeps enough tasks of a may_miss step at work took the last report of a task for its state, also when its worker does not answer or has left the directory. Such a task may be gone, and stopping another one would leave fewer at work than the step allows.

Evidence: TeamGuaranteesTest.taskOnASilentWorkerCountsAsAway failed before. The test for tasks that start up reported 100% first and so passed for any rule; it now starts them at 50%.

Change: a task counts as at work only on a registered worker that answers, once its progress is complete.

Conclusion: a reclaim never relies on a task whose state is unknown.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
@@ -38,9 +38,6 @@
     /** The number of cores that one accelerator is counted as in costs. */
     private static final double CORES_PER_ACCELERATOR = 8;
 
-    /** The progress of a long-running task that is at work. */
-    private static final int FULL_PERCENT = 100;
-
     /** Decides which runs may free their resources for a step, and at which cost. */
     private interface ReleaseStrategy {
         boolean canRelease(StepInstance step, Run run);
@@ -301,11 +298,16 @@
         return away < step.plan.mayMiss();
     }
 
-    /** Returns whether a long-running task has started up. */
+    /**
+     * Returns whether a long-running task is at work, on a worker that answers. Its progress is
+     * complete once it has started up.
+     */
     private static boolean isAtWork(Task task) {
         return task.run != null
                 && task.run.phase == Phase.RUNNING
-                && task.run.progress.percent() >= FULL_PERCENT;
+                && task.run.worker.registered
+                && !task.run.worker.unresponsive
+                && task.run.progress.isComplete();
     }
 
     private static Resources stoppingResources(Worker worker) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunProgress.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunProgress.java
@@ -78,7 +78,10 @@
         return mAdvancedAtMs;
     }
 
-    /** Returns whether all work is done; a member of a gang then waits for the others. */
+    /**
+     * Returns whether all work is done; a member of a gang then waits for the others. A
+     * long-running task is at work from then on.
+     */
     boolean isComplete() {
         return mLastPercent >= COMPLETE_PERCENT;
     }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/TeamGuaranteesTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TeamGuaranteesTest.java
@@ -6,12 +6,12 @@
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.TEAM;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.URGENT;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.ended;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.running;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.stops;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
 import static org.lycheeroad.coordination.jobs.StepBuilder.step;
 
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -19,10 +19,10 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.state.id.TeamId;
+import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.StepPlan;
-import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
 
 /**
  * Two teams with 16 guaranteed accelerators each, on four workers with 8 accelerators. One team's
@@ -35,7 +35,6 @@
     private static final long WAIT_MS = 1_500;
 
     private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
-    private final Map<String, ActiveRun> mRunning = new LinkedHashMap<>();
     private long mLastEndNumber;
 
     TeamGuaranteesTest() {
@@ -140,10 +139,19 @@
         /** Guards against stopping a task while another one is starting up. */
         @Test
         void tasksThatStartUpCountAsAway() {
+            mFixture.submit("borrower", BULK, step(4, 8, 2_000).mayMiss(1).build());
+            startAll(Map.of("w1", 50));
+            submit("owner", OTHER_TEAM, step(1, 8, 2_000).build());
+            assertThat(stopsWithinTheBound()).isEmpty();
+        }
+
+        /** Guards against stopping a task while another one may have been lost with its worker. */
+        @Test
+        void taskOnASilentWorkerCountsAsAway() {
             borrow(BULK, TEAM, step(4, 8, 2_000).mayMiss(1).build());
-            reportRunning("w1", 50);
+            mFixture.scheduler.onWorkerUnresponsive(new WorkerId("w1"));
             submit("owner", OTHER_TEAM, step(1, 8, 2_000).build());
-            assertThat(stopsWithinTheBound()).extracting(s -> s.worker().value()).isSubsetOf("w1");
+            assertThat(stopsWithinTheBound()).isEmpty();
         }
     }
 
@@ -180,19 +188,22 @@
     }
 
     private void startAll() {
+        startAll(Map.of());
+    }
+
+    /**
+     * Starts all tasks that fit, and reports the progress of each worker's run, 100% if not given.
+     */
+    private void startAll(Map<String, Integer> percents) {
         List<JobAction> actions = mFixture.runRound();
         mFixture.acceptStarts(actions);
         for (JobAction.Start start : starts(actions)) {
-            mRunning.put(start.worker().value(), new ActiveRun(start.run(), "", 100, 0));
-            reportRunning(start.worker().value(), 100);
+            String worker = start.worker().value();
+            int percent = percents.getOrDefault(worker, 100);
+            mFixture.report(worker, List.of(running(start, percent)), List.of());
         }
     }
 
-    private void reportRunning(String worker, int percent) {
-        ActiveRun running = new ActiveRun(mRunning.get(worker).run(), "", percent, 0);
-        mFixture.report(worker, List.of(running), List.of());
-    }
-
     /**
      * Runs rounds until shortly before a guaranteed job has to start, and returns the stops without
      * repetitions.
