--- a/review/harness-2/Store.java
+++ b/review/harness-2/Store.java
@@ -24,6 +24,9 @@
     /** How long the store takes for an answer; the site sheets say 4 ms. */
     private static final long ANSWER_MS = 4;
 
+    /** How long a call without an answer keeps its connection. */
+    private static final long UNANSWERED_MS = 60_000;
+
     private record Item(String value, long revision, long created, long lease) {}
 
     private record Event(String key, long revision, Item item) {}
@@ -47,6 +50,12 @@
 
     private boolean mWatchesDeaf;
 
+    /** Calls that arrived before or during the newest silence get no answer any more. */
+    private int mSilences;
+
+    private boolean mSilent;
+    private long mSilentSinceMs;
+
     Store() throws IOException {
         mServer = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 1024);
         mServer.setExecutor(Executors.newCachedThreadPool(Threads.daemons("store")));
@@ -99,24 +108,59 @@
         notifyAll();
     }
 
+    /**
+     * The disruption platform_down, silent: calls are not carried out and get no answer, then or
+     * later; leases pause.
+     */
+    synchronized void fallSilent() {
+        mSilent = true;
+        mSilences++;
+        mSilentSinceMs = nowMs();
+        notifyAll();
+    }
+
+    /** Ends the silence for the calls that come from now on. */
+    synchronized void speak() {
+        mSilent = false;
+        mLeases.values().forEach(lease -> lease.mEndsAtMs += nowMs() - mSilentSinceMs);
+    }
+
     private void handle(HttpExchange call) throws IOException {
         try {
             byte[] body = call.getRequestBody().readAllBytes();
             String path = call.getRequestURI().getPath();
+            int silences;
+            synchronized (this) {
+                silences = mSilences;
+            }
+            if (isUnanswered(silences)) {
+                Threads.sleep(UNANSWERED_MS);
+                call.close();
+                return;
+            }
             if (path.equals("/kv-watch")) {
-                watch(call, query(call));
+                watch(call, query(call), silences);
                 return;
             }
             Threads.sleep(ANSWER_MS);
             synchronized (this) {
-                execute(call, path, body);
+                if (!isUnanswered(silences)) {
+                    execute(call, path, body);
+                    return;
+                }
             }
+            Threads.sleep(UNANSWERED_MS);
+            call.close();
         } catch (RuntimeException e) {
             e.printStackTrace();
             call.close();
         }
     }
 
+    private synchronized boolean isUnanswered(int silencesAtArrival) {
+        return mSilent || mSilences != silencesAtArrival;
+    }
+
     private void execute(HttpExchange call, String path, byte[] body) throws IOException {
         if (path.equals("/kv-key")) {
             String key = query(call).get("key");
@@ -215,7 +259,8 @@
         answer(call, 200, mMapper.createObjectNode().put("revision", mRevision));
     }
 
-    private void watch(HttpExchange call, Map<String, String> query) throws IOException {
+    private void watch(HttpExchange call, Map<String, String> query, int silences)
+            throws IOException {
         String prefix = query.get("path_prefix");
         long after = Long.parseLong(query.get("after"));
         long endMs = nowMs() + Long.parseLong(query.getOrDefault("wait_ms", "0"));
@@ -225,6 +270,9 @@
             int generation = mWatchGeneration;
             ArrayNode events = body.putArray("events");
             while (true) {
+                if (isUnanswered(silences)) {
+                    break;
+                }
                 if (generation != mWatchGeneration) {
                     call.close();
                     return;
@@ -255,10 +303,18 @@
             // A deaf watch must not claim to have heard what it left out.
             body.put("as_of", mWatchesDeaf ? after : mRevision);
         }
+        if (isUnanswered(silences)) {
+            Threads.sleep(UNANSWERED_MS);
+            call.close();
+            return;
+        }
         answer(call, status, body);
     }
 
     private synchronized void endLeases() {
+        if (mSilent) {
+            return;
+        }
         List<Long> ended = new ArrayList<>();
         mLeases.forEach(
                 (id, lease) -> {
