--- a/review/harness-2/Executor.java
+++ b/review/harness-2/Executor.java
@@ -37,6 +37,9 @@
     private static final long BEAT_MS = 1_500;
     private static final int MAX_WAIT_MS = 2_000;
 
+    /** How many ends a look returns at a time. */
+    private static final int MAX_ENDS = 500;
+
     private final String mId;
     private final String mService;
     private final String mKind;
@@ -78,7 +81,7 @@
         mStore = store;
         mLedger = ledger;
         mHoldMaxMs = holdMaxMs;
-        mServer = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
+        mServer = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 4096);
         mServer.setExecutor(Executors.newCachedThreadPool(Threads.daemons(id)));
         mServer.createContext("/", this::handle);
         mServer.start();
@@ -262,7 +265,7 @@
                     .add(0);
         }
         ArrayNode finished = answer.putArray("finished");
-        for (Ledger.Run run : mEnds) {
+        for (Ledger.Run run : mEnds.subList(0, Math.min(MAX_ENDS, mEnds.size()))) {
             finished.addArray()
                     .add(mEndNumbers.get(run))
                     .add(run.task())
--- a/review/harness-2/Ledger.java
+++ b/review/harness-2/Ledger.java
@@ -16,6 +16,7 @@
         private final long mStartedMs;
         private long mEndedMs = Long.MAX_VALUE;
         private String mHow = "";
+        private boolean mObserved;
 
         Run(Executor executor, String task, int attempt, String spec, long startedMs) {
             mExecutor = executor;
@@ -37,6 +38,11 @@
             return mHow;
         }
 
+        /** Whether its end has been taken note of. */
+        boolean isObserved() {
+            return mObserved;
+        }
+
         Executor executor() {
             return mExecutor;
         }
@@ -85,6 +91,7 @@
     }
 
     synchronized void onObserved(Run run) {
+        run.mObserved = true;
         mRecord.add("run     %s attempt %d: the end %s is taken note of", run.mTask, run.mAttempt, run.mHow);
     }
 
