--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
@@ -161,15 +161,17 @@
 
     private static TaskProgress toTaskProgress(Task task) {
         Run run = task.run;
+        StepInstance step = task.step;
         return new TaskProgress(
                 task.ref.occurrence(),
                 task.ref.step(),
                 task.ref.index(),
                 task.attempt,
-                task.step.plan.gang() ? task.step.gangFailures : task.failures,
+                step.plan.gang() ? step.gangFailures : task.failures,
+                step.lastFailedGangAttempt,
                 task.done,
                 run == null ? null : run.worker.id,
                 run == null ? 0 : run.workerIncarnation,
-                task.step.checkpointFor(task));
+                step.checkpointFor(task));
     }
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -390,6 +390,7 @@
         task.done = saved.done();
         if (step.plan.gang()) {
             step.gangFailures = saved.failures();
+            step.lastFailedGangAttempt = saved.countedAttempt();
         } else {
             task.failures = saved.failures();
         }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobKindsTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobKindsTest.java
@@ -115,6 +115,7 @@
                                     0,
                                     1,
                                     0,
+                                    0,
                                     false,
                                     new WorkerId(worker),
                                     JobSchedulerFixture.INCARNATION,
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -121,6 +121,7 @@
                                     0,
                                     5,
                                     0,
+                                    0,
                                     false,
                                     new WorkerId(worker),
                                     JobSchedulerFixture.INCARNATION,
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
@@ -33,6 +33,9 @@
     /** Longer than the time after which a stop without effect is repeated. */
     private static final long STOP_RETRY_MS = 1_000;
 
+    /** Longer than any quarantine of a worker. */
+    private static final long QUARANTINE_MS = 30_000;
+
     private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
 
     @Nested
@@ -109,6 +112,51 @@
             assertThat(mFixture.runRound()).isEmpty();
         }
 
+        /**
+         * Guards against a job that is shown as failed too early, because two owners count the
+         * failure of one attempt: each sees the end of another member.
+         */
+        @Test
+        void failedAttemptIsCountedOnceIfTwoOwnersSeeItsEnds() {
+            StepPlan gang = step(2, 8, 5_000).gang().build();
+            mFixture.addWorker("w1", "r1");
+            mFixture.addWorker("w2", "r1");
+            mFixture.submit("j1", BULK, gang);
+            List<JobAction.Start> firstStarts = starts(mFixture.runRound());
+            mFixture.acceptStarts(List.copyOf(firstStarts));
+            reportFailure(mFixture, firstStarts.get(0), 1);
+            ProgressRecord saved = mFixture.scheduler.takeUnsavedProgress().get(0).progress();
+
+            JobSchedulerFixture next = new JobSchedulerFixture();
+            next.submit("j1", BULK, saved, gang);
+            next.addWorkerEntry("w1", "r1");
+            next.addWorkerEntry("w2", "r1");
+            reportFailure(next, firstStarts.get(0), 1);
+            reportFailure(next, firstStarts.get(1), 1);
+            for (int attempt = 2; attempt <= JobSchedulerFixture.MAX_ATTEMPTS; attempt++) {
+                next.saveAll();
+                assertThat(next.scheduler.stateOf(JOB)).hasValue(WorkState.ACTIVE);
+                next.nowMs += QUARANTINE_MS;
+                List<JobAction.Start> starts = starts(next.runRound());
+                assertThat(starts)
+                        .extracting(s -> s.run().attempt())
+                        .containsExactly(attempt, attempt);
+                next.acceptStarts(List.copyOf(starts));
+                reportFailure(next, starts.get(0), attempt);
+                reportFailure(next, starts.get(1), attempt);
+            }
+            next.saveAll();
+            assertThat(next.scheduler.stateOf(JOB)).hasValue(WorkState.FAILED);
+        }
+
+        private static void reportFailure(
+                JobSchedulerFixture fixture, JobAction.Start start, long endNumber) {
+            fixture.report(
+                    start.worker().value(),
+                    List.of(),
+                    List.of(ended(endNumber, start.run(), RunOutcome.FAILED)));
+        }
+
         /** Restores a gang with one member a worker; null for a member whose run has ended. */
         private void restoreGangOn(String... workers) {
             List<TaskProgress> tasks = new ArrayList<>();
@@ -213,6 +261,7 @@
                 index,
                 1,
                 0,
+                0,
                 false,
                 worker == null ? null : new WorkerId(worker),
                 worker == null ? 0 : INCARNATION,
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
@@ -98,7 +98,7 @@
         next.restartWorker("w1", "r1", RESTARTED_INCARNATION);
         next.addWorker("w2", "r1");
         TaskProgress savedTask =
-                new TaskProgress(0, 0, 0, 5, 0, false, new WorkerId("w1"), INCARNATION, "");
+                new TaskProgress(0, 0, 0, 5, 0, 0, false, new WorkerId("w1"), INCARNATION, "");
         next.submit(
                 "j1",
                 BULK,
--- a/state/src/main/java/org/lycheeroad/state/work/ProgressRecord.java
+++ b/state/src/main/java/org/lycheeroad/state/work/ProgressRecord.java
@@ -17,7 +17,9 @@
      * The progress of one task.
      *
      * @param attempt the number of the most recent run
-     * @param failures the number of failed runs
+     * @param failures the number of failed runs; for a gang, the number of its attempts that failed
+     * @param countedAttempt for a gang, the newest attempt that {@code failures} includes;
+     *     otherwise 0
      * @param done whether a run completed successfully
      * @param worker the worker on which the most recent run may still be active, or null if that
      *     run has ended
@@ -31,6 +33,7 @@
             int index,
             int attempt,
             int failures,
+            int countedAttempt,
             boolean done,
             WorkerId worker,
             long workerBornMs,
