--- a/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
@@ -11,7 +11,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Watches all keys with a prefix: lists them once, then long-polls the store for changes. */
+/**
+ * Watches all keys with a prefix: lists them once, then long-polls the store for changes.
+ *
+ * <p>Calls that fail are given more time, as a large change may take seconds on a slow link. A call
+ * may also have been lost, for example during an outage of the store, so another one is sent after
+ * the usual time. The first response counts.
+ */
 public final class PrefixWatch {
     /** Receives the results of a watch; all methods are called on the watch's executor. */
     public interface Listener {
@@ -41,6 +47,9 @@
     /** Small compared with the bounds of seconds within which a change must take effect. */
     private static final long RETRY_MS = 150;
 
+    /** Stands for the revision while the keys are being listed. */
+    private static final long NOT_LISTED = -1;
+
     /** Several times the network latency between regions. */
     private static final long TIMEOUT_SLACK_MS = 900;
 
@@ -58,6 +67,12 @@
     private boolean mStopped;
     private int mBackoffDoublings;
 
+    /** The revision up to which all changes have been delivered. */
+    private long mRevision = NOT_LISTED;
+
+    /** The number of the newest call that waits for changes after {@link #mRevision}. */
+    private int mNewestCall;
+
     public PrefixWatch(
             MetadataStore store,
             SerialExecutor executor,
@@ -122,7 +137,8 @@
         }
         callListener("the listing", () -> mListener.onSnapshot(listed));
         callListener("the revision", () -> mListener.onUpToDate(lowestRevision));
-        watch(lowestRevision);
+        mRevision = lowestRevision;
+        watch();
     }
 
     private void restart() {
@@ -131,46 +147,84 @@
         }
     }
 
-    private void watch(long afterRevision) {
-        if (!mStopped) {
-            mExecutor.whenComplete(
-                    mStore.watch(
-                            mPrefix,
-                            afterRevision,
-                            mLongPollMs,
-                            TIMEOUT_SLACK_MS << mBackoffDoublings),
-                    (response, e) -> onWatchResponse(response, e, afterRevision));
+    private void watch() {
+        if (mStopped) {
+            return;
+        }
+        int call = ++mNewestCall;
+        long afterRevision = mRevision;
+        mExecutor.whenComplete(
+                mStore.watch(
+                        mPrefix, afterRevision, mLongPollMs, TIMEOUT_SLACK_MS << mBackoffDoublings),
+                (response, e) -> {
+                    if (mStopped) {
+                        return;
+                    }
+                    if (e == null) {
+                        onChanges(response, call, afterRevision);
+                    } else if (call == mNewestCall) {
+                        onWatchFailure(e);
+                    }
+                });
+        if (mBackoffDoublings > 0) {
+            mExecutor.schedule(mLongPollMs + TIMEOUT_SLACK_MS, () -> repeatIfUnanswered(call));
         }
     }
 
-    private void onWatchResponse(WatchResponse response, Throwable failure, long afterRevision) {
-        if (mStopped) {
+    private void repeatIfUnanswered(int call) {
+        if (!mStopped && call == mNewestCall) {
+            LOG.info("Store did not answer a watch of {} in time; repeating it", mPrefix);
+            mListener.onFailure();
+            increaseBackoff();
+            watch();
+        }
+    }
+
+    private void onChanges(WatchResponse response, int call, long afterRevision) {
+        if (afterRevision != mRevision) {
+            // Another call has already delivered these changes.
             return;
         }
-        if (failure == null) {
-            mBackoffDoublings = 0;
-            for (MetadataStore.Change change : response.changes()) {
-                if (change.keyValue() == null) {
-                    callListener(change.key(), () -> mListener.onDelete(change.key()));
-                } else {
-                    callListener(change.key(), () -> mListener.onPut(change.keyValue()));
-                }
+        mBackoffDoublings = 0;
+        for (MetadataStore.Change change : response.changes()) {
+            if (change.keyValue() == null) {
+                callListener(change.key(), () -> mListener.onDelete(change.key()));
+            } else {
+                callListener(change.key(), () -> mListener.onPut(change.keyValue()));
             }
-            long revision = Math.max(afterRevision, response.revision());
-            callListener("the revision", () -> mListener.onUpToDate(revision));
-            watch(revision);
-            return;
         }
+        mRevision = Math.max(afterRevision, response.revision());
+        callListener("the revision", () -> mListener.onUpToDate(mRevision));
+        // Unless the revision is new, a newer call still waits for the changes after it.
+        if (call == mNewestCall || afterRevision != mRevision) {
+            watch();
+        }
+    }
+
+    private void onWatchFailure(Throwable failure) {
+        // The failed call must not be repeated once its usual time has passed.
+        int retry = ++mNewestCall;
         if (StoreException.kindOf(failure) == StoreException.Kind.COMPACTED) {
             LOG.info(
                     "Store compacted the history of {} after revision {}; listing the keys again",
                     mPrefix,
-                    afterRevision);
+                    mRevision);
+            mRevision = NOT_LISTED;
             start();
             return;
         }
         mListener.onFailure();
-        mExecutor.schedule(RETRY_MS << mBackoffDoublings, () -> watch(afterRevision));
+        mExecutor.schedule(
+                RETRY_MS << mBackoffDoublings,
+                () -> {
+                    if (mNewestCall == retry) {
+                        watch();
+                    }
+                });
+        increaseBackoff();
+    }
+
+    private void increaseBackoff() {
         mBackoffDoublings = Math.min(mBackoffDoublings + 1, MAX_BACKOFF_DOUBLINGS);
     }
 }
