--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/DecisionRoundBenchmark.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/DecisionRoundBenchmark.java
@@ -93,7 +93,7 @@
             mScheduler.onWorkerEntry(status, mNowMs);
             mScheduler.onRunReport(
                     status.id(),
-                    new WorkerRuns(mNowMs, WORKER_START_MS, List.of(), List.of()),
+                    new WorkerRuns(mNowMs, WORKER_START_MS, List.of(), List.of(), true),
                     mNowMs,
                     mNowMs);
         }
@@ -126,7 +126,7 @@
                 (worker, running) ->
                         mScheduler.onRunReport(
                                 worker,
-                                new WorkerRuns(mNowMs, WORKER_START_MS, running, List.of()),
+                                new WorkerRuns(mNowMs, WORKER_START_MS, running, List.of(), true),
                                 mNowMs,
                                 mNowMs));
     }
--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
@@ -362,7 +362,10 @@
         worker.mEndedRuns.removeIf(end -> end.sequence() <= acknowledged);
         List<EndedRun> endedRuns = List.copyOf(worker.mEndedRuns);
         mScheduler.onRunReport(
-                id, new WorkerRuns(mNowMs, WORKER_START_MS, running, endedRuns), mNowMs, mNowMs);
+                id,
+                new WorkerRuns(mNowMs, WORKER_START_MS, running, endedRuns, true),
+                mNowMs,
+                mNowMs);
     }
 
     /**
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -101,9 +101,11 @@
             reported.add(running.run());
             onRunningReported(worker, running, nowMs);
         }
-        for (Run run : new ArrayList<>(worker.runs.values())) {
-            if (!reported.contains(run.ref) && isOverIfAbsent(run, requestedAtMs)) {
-                onLost(run, nowMs);
+        if (report.listsAllEndedRuns()) {
+            for (Run run : new ArrayList<>(worker.runs.values())) {
+                if (!reported.contains(run.ref) && isOverIfAbsent(run, requestedAtMs)) {
+                    onLost(run, nowMs);
+                }
             }
         }
         mSlowWorkerDetector.onReport(worker, nowMs);
@@ -133,7 +135,7 @@
             } else if (run.phase == Phase.STOPPING && run.startedAtMs == Long.MAX_VALUE) {
                 // The new incarnation must confirm the stop too before it refuses a late start.
                 run.confirmedAtMs = Long.MAX_VALUE;
-            } else {
+            } else if (report.listsAllEndedRuns()) {
                 onLost(run, nowMs);
             }
         }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultSimulation.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultSimulation.java
@@ -33,6 +33,11 @@
     private static final long LEASE_EXPIRY_MS = 6_600;
     private static final long TICK_MS = 20;
 
+    /**
+     * The most ended runs that a worker lists in one report; few, so that reports leave some out.
+     */
+    private static final int MAX_LISTED_ENDS = 2;
+
     /** How long after all jobs have ended a run may last: cancellation takes 3 s, a stop 200 ms. */
     private static final long MAX_RUN_AFTER_END_MS = 3_200;
 
@@ -331,12 +336,14 @@
                 id, mNowMs + (mDefect == Defect.EXPIRE_LEASES_EARLY ? 500 : LEASE_EXPIRY_MS));
         List<ActiveRun> running = new ArrayList<>();
         worker.mRunning.values().forEach(run -> running.add(new ActiveRun(run, "", 95, 0)));
+        int listed = Math.min(MAX_LISTED_ENDS, worker.mUnacknowledgedEnds.size());
         WorkerRuns runs =
                 new WorkerRuns(
                         mNowMs,
                         JobSchedulerFixture.INCARNATION,
                         running,
-                        List.copyOf(worker.mUnacknowledgedEnds));
+                        List.copyOf(worker.mUnacknowledgedEnds.subList(0, listed)),
+                        listed == worker.mUnacknowledgedEnds.size());
         mScheduler.onRunReport(id, runs, mNowMs, mNowMs);
     }
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -165,20 +165,21 @@
     }
 
     void report(String worker, List<ActiveRun> running, List<EndedRun> ended) {
-        scheduler.onRunReport(
-                new WorkerId(worker),
-                new WorkerRuns(nowMs, INCARNATION, running, ended),
-                nowMs,
-                nowMs);
+        report(worker, INCARNATION, running, ended);
     }
 
     /** Applies a run report of some incarnation. */
     void report(String worker, long incarnation, List<ActiveRun> running, List<EndedRun> ended) {
-        scheduler.onRunReport(
-                new WorkerId(worker),
-                new WorkerRuns(nowMs, incarnation, running, ended),
-                nowMs,
-                nowMs);
+        report(worker, new WorkerRuns(nowMs, incarnation, running, ended, true));
+    }
+
+    /** Applies a run report that leaves out ended runs. */
+    void reportFirstEnds(String worker, long incarnation, List<EndedRun> ended) {
+        report(worker, new WorkerRuns(nowMs, incarnation, List.of(), ended, false));
+    }
+
+    private void report(String worker, WorkerRuns runs) {
+        scheduler.onRunReport(new WorkerId(worker), runs, nowMs, nowMs);
     }
 
     /** Applies the directory entry of another incarnation. */
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
@@ -25,6 +25,7 @@
 import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
+import org.lycheeroad.state.work.WorkerRuns.EndedRun;
 
 /** What the next owner does with the runs that saved progress lists. */
 class TakeoverTest {
@@ -246,6 +247,59 @@
         }
     }
 
+    /** Reports of a worker that has more ended runs than it lists at a time. */
+    @Nested
+    class EndsListedInParts {
+        /** Guards against tasks that run again because their ends are not listed yet. */
+        @Test
+        void doneTaskIsNotStartedAgainIfItsEndIsListedLater() {
+            restoreTasksOn("w1");
+            mFixture.reportFirstEnds("w1", INCARNATION, List.of(done(1)));
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            assertThat(mFixture.scheduler.needsPoll(new WorkerId("w1"))).isTrue();
+            mFixture.report("w1", List.of(), List.of(done(2)));
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            assertThat(mFixture.scheduler.stateOf(JOB)).hasValue(WorkState.COMPLETED);
+        }
+
+        /** As above, if the worker has restarted since the run was recorded. */
+        @Test
+        void doneTaskIsNotStartedAgainIfItRanInANewIncarnation() {
+            restoreTasksOn("w1");
+            mFixture.reportFirstEnds("w1", INCARNATION + 1, List.of(done(1)));
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            mFixture.report("w1", INCARNATION + 1, List.of(), List.of(done(2)));
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            assertThat(mFixture.scheduler.stateOf(JOB)).hasValue(WorkState.COMPLETED);
+        }
+
+        /** Guards against a lost run whose task is never started again. */
+        @Test
+        void runIsOverOnceAllEndsAreListedWithoutIt() {
+            restoreTasksOn("w1");
+            mFixture.reportFirstEnds("w1", INCARNATION, List.of(done(1)));
+            mFixture.report("w1", List.of(), List.of());
+            assertThat(starts(mFixture.runRound()))
+                    .extracting(JobAction.Start::run)
+                    .containsExactly(new RunRef(run(1).task(), 2));
+        }
+
+        /** Restores two tasks with a run each. */
+        private void restoreTasksOn(String worker) {
+            mFixture.submit(
+                    "j1",
+                    BULK,
+                    new ProgressRecord(
+                            WorkState.ACTIVE, List.of(progress(0, worker), progress(1, worker))),
+                    step(2, 1, 1_000).build());
+            mFixture.addWorkerEntry(worker, "r1");
+        }
+
+        private static EndedRun done(int number) {
+            return ended(number, run(number - 1), RunOutcome.DONE);
+        }
+    }
+
     private void reportRunning(String worker, int index) {
         mFixture.report(worker, List.of(new ActiveRun(run(index), "", 10, 0)), List.of());
     }
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -285,7 +285,7 @@
         public CompletableFuture<PollReply> poll(
                 WorkerEndpoint endpoint, long acknowledgedEnd, long leaseUntilMs, long waitMs) {
             mPolls.merge(endpoint.workerId(), 1, Integer::sum);
-            WorkerRuns runs = new WorkerRuns(BORN_MS, BORN_MS, List.of(), List.of());
+            WorkerRuns runs = new WorkerRuns(BORN_MS, BORN_MS, List.of(), List.of(), true);
             return CompletableFuture.completedFuture(new PollReply(OrderAnswer.ACCEPTED, runs));
         }
     }
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -151,7 +151,7 @@
             return replyToNextPoll(
                     new PollReply(
                             OrderAnswer.ACCEPTED,
-                            new WorkerRuns(1, BORN_MS, List.of(), endedRuns)));
+                            new WorkerRuns(1, BORN_MS, List.of(), endedRuns, true)));
         }
 
         /** Waits for a poll and reports that no reply came. */
--- a/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
@@ -25,6 +25,9 @@
  * from {@link PlacementAdviceServer} to start it.
  */
 public final class ExecutorServer implements StandIn {
+    /** The most ended runs in one response; the others follow once these are acknowledged. */
+    private static final int MAX_LISTED_FINISHED_RUNS = 500;
+
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final long DEFAULT_DURATION_MS = 50;
 
@@ -279,7 +282,8 @@
                     .add(0);
         }
         ArrayNode finishedArray = body.putArray("finished");
-        for (FinishedRun finishedRun : mFinishedRuns) {
+        int listed = Math.min(MAX_LISTED_FINISHED_RUNS, mFinishedRuns.size());
+        for (FinishedRun finishedRun : mFinishedRuns.subList(0, listed)) {
             finishedArray
                     .addArray()
                     .add(finishedRun.number)
--- a/state/src/main/java/org/lycheeroad/state/work/WorkerRuns.java
+++ b/state/src/main/java/org/lycheeroad/state/work/WorkerRuns.java
@@ -7,12 +7,18 @@
  *
  * @param clockMs the time on the worker's clock, in milliseconds
  * @param incarnationStartMs the start time of the worker process, in milliseconds since 1970
+ * @param activeRuns all runs that have not ended
+ * @param endedRuns the ended runs that are not acknowledged, those with the lowest sequence first;
+ *     a worker may leave out later ones
+ * @param listsAllEndedRuns whether no ended run may be missing, so that a run that is in neither
+ *     list does not exist
  */
 public record WorkerRuns(
         long clockMs,
         long incarnationStartMs,
         List<ActiveRun> activeRuns,
-        List<EndedRun> endedRuns) {
+        List<EndedRun> endedRuns,
+        boolean listsAllEndedRuns) {
     /**
      * A run that has not ended.
      *
