store: read a listing on behind a page without readable keys

Cause: HttpMetadataStore skips keys that cannot be read, and PrefixWatch and OwnerSession.loadProgress took a page without keys as the last one. The keys behind it counted as absent: jobs would not be loaded, and a job without progress is taken as never started.

Change: a page names the key after which the next one begins, also if its value cannot be read.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/PrefixWatch.java
@@ -131,8 +131,8 @@
         listed.addAll(page.keyValues());
         // The pages are not one consistent snapshot, so changes since the first page are repeated.
         long lowestRevision = Math.min(lowestRevisionSoFar, page.revision());
-        if (page.hasMore() && !page.keyValues().isEmpty()) {
-            list(page.keyValues().get(page.keyValues().size() - 1).key(), listed, lowestRevision);
+        if (page.hasMore()) {
+            list(page.nextAfterKey(), listed, lowestRevision);
             return;
         }
         callListener("the listing", () -> mListener.onSnapshot(listed));
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -316,8 +316,8 @@
                         return;
                     }
                     PrefixWatch.forEach(page.keyValues(), this::loadProgressRecord);
-                    if (page.hasMore() && !page.keyValues().isEmpty()) {
-                        loadProgress(page.keyValues().get(page.keyValues().size() - 1).key());
+                    if (page.hasMore()) {
+                        loadProgress(page.nextAfterKey());
                     } else {
                         watchJobsAndWorkers();
                     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/port/MetadataStore.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/port/MetadataStore.java
@@ -15,8 +15,18 @@
     /** A key and its value; {@code leaseId} is 0 if the key is not attached to a lease. */
     record KeyValue(String key, ByteString value, long revision, long leaseId) {}
 
-    /** A page of a listing; {@code revision} is the store's revision at which it was read. */
-    record Page(List<KeyValue> keyValues, boolean hasMore, long revision) {}
+    /**
+     * A page of a listing.
+     *
+     * @param keyValues the keys that can be read; there may be none although more pages follow
+     * @param nextAfterKey the key after which the next page begins, or empty for the last page
+     * @param revision the store's revision at which the page was read
+     */
+    record Page(List<KeyValue> keyValues, String nextAfterKey, long revision) {
+        public boolean hasMore() {
+            return !nextAfterKey.isEmpty();
+        }
+    }
 
     /** A change of one key; {@code keyValue} is null if the key was deleted. */
     record Change(String key, KeyValue keyValue) {}
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/PrefixWatchTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/PrefixWatchTest.java
@@ -58,6 +58,20 @@
         }
     }
 
+    @Nested
+    class Listings {
+        /**
+         * Guards against keys that count as deleted because they follow a page of unreadable ones.
+         */
+        @Test
+        void pagesBehindOneWithoutReadableKeysAreListed() throws Exception {
+            mStore.mEmptyPageUpTo = "p/0";
+            mStore.mListed.add(keyValue("p/1"));
+            start(mStore);
+            awaitHandled("p/1");
+        }
+    }
+
     /** Calls that the store does not answer in time. */
     @Nested
     class UnansweredCalls {
@@ -168,9 +182,15 @@
         private final List<KeyValue> mListed = new ArrayList<>();
         private final Deque<List<Change>> mResponses = new ArrayDeque<>();
 
+        /** The key at which a first page without readable keys ends; empty if there is none. */
+        private String mEmptyPageUpTo = "";
+
         @Override
         public CompletableFuture<Page> list(String prefix, String afterKey) {
-            return CompletableFuture.completedFuture(new Page(List.copyOf(mListed), false, 1));
+            return CompletableFuture.completedFuture(
+                    afterKey.isEmpty() && !mEmptyPageUpTo.isEmpty()
+                            ? new Page(List.of(), mEmptyPageUpTo, 1)
+                            : new Page(List.copyOf(mListed), "", 1));
         }
 
         @Override
@@ -203,7 +223,7 @@
 
         @Override
         public CompletableFuture<Page> list(String prefix, String afterKey) {
-            return CompletableFuture.completedFuture(new Page(List.of(), false, 1));
+            return CompletableFuture.completedFuture(new Page(List.of(), "", 1));
         }
 
         @Override
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -216,7 +216,7 @@
 
         @Override
         public CompletableFuture<Page> list(String prefix, String afterKey) {
-            return CompletableFuture.completedFuture(new Page(List.of(configAt(1)), false, 5));
+            return CompletableFuture.completedFuture(new Page(List.of(configAt(1)), "", 5));
         }
 
         @Override
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -178,7 +178,7 @@
                                 1,
                                 0));
             }
-            return CompletableFuture.completedFuture(new Page(page, false, 1));
+            return CompletableFuture.completedFuture(new Page(page, "", 1));
         }
 
         @Override
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ScriptedStore.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ScriptedStore.java
@@ -44,7 +44,7 @@
 
     @Override
     public CompletableFuture<Page> list(String prefix, String afterKey) {
-        return CompletableFuture.completedFuture(new Page(List.of(), false, 1));
+        return CompletableFuture.completedFuture(new Page(List.of(), "", 1));
     }
 
     @Override
