takeover: order the speed of restored best-effort runs anew

Cause: an owner knows the speed that it ordered for a best-effort task, which is not saved. The next owner took it for full speed, so a task that had been paused on a worker without serving tasks stayed paused for good, and one beside serving tasks was left at a speed that the owner did not know.

Change: the confirmed speed of a restored run is unknown, so that the first report of its worker leads to an order. The first speed beside serving tasks is the usual initial one.

Evidence: both tests of TakeoverTest.BestEffortTasks failed before and pass now.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/BestEffortThrottle.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/BestEffortThrottle.java
@@ -15,7 +15,7 @@
     private static final int FULL_PERCENT = 100;
 
     /** The initial speed beside serving tasks, before the effect on them is known. */
-    private static final int INITIAL_PERCENT = 20;
+    static final int INITIAL_PERCENT = 20;
 
     /** The increase with each report while the tail latencies are well below their targets. */
     private static final int INCREASE_PERCENT = 10;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -401,6 +401,7 @@
         Worker worker = mState.getOrAddWorker(saved.worker());
         worker.incarnation = Math.max(worker.incarnation, saved.workerBornMs());
         Run run = new Run(new RunRef(task.ref, saved.attempt()), task, worker, Phase.UNCONFIRMED);
+        run.confirmedSpeedPercent = Run.UNKNOWN_SPEED_PERCENT;
         worker.add(run);
         task.run = run;
     }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -20,6 +20,8 @@
         STOPPING
     }
 
+    static final int UNKNOWN_SPEED_PERCENT = -1;
+
     public final RunRef ref;
     public final Task task;
     public final Worker worker;
@@ -71,7 +73,10 @@
     /** The last reported usage; see {@link WorkerRuns.ActiveRun#usage}. */
     public long reportedUsage;
 
-    /** The speed that the worker has confirmed, in percent of full speed. */
+    /**
+     * The speed that the worker has confirmed, in percent of full speed, or {@link
+     * #UNKNOWN_SPEED_PERCENT} if an earlier owner may have ordered another one.
+     */
     public int confirmedSpeedPercent = 100;
 
     /** The speed that was ordered last, in percent of full speed. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -115,7 +115,7 @@
     public long lastHeartbeatAtMs;
 
     /** The speed of the worker's best-effort runs, in percent of full speed. */
-    public int bestEffortSpeedPercent = 100;
+    public int bestEffortSpeedPercent = BestEffortThrottle.INITIAL_PERCENT;
 
     private Resources mUsedResources = Resources.NONE;
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
@@ -34,6 +34,8 @@
     /** Longer than the time after which a stop without effect is repeated. */
     private static final long STOP_RETRY_MS = 1_000;
 
+    private static final long TAIL_TARGET_MS = 100;
+
     /** Longer than any quarantine of a worker. */
     private static final long QUARANTINE_MS = 30_000;
 
@@ -178,6 +180,51 @@
         }
     }
 
+    /** Best-effort tasks whose speed an earlier owner may have lowered. */
+    @Nested
+    class BestEffortTasks {
+        /** Guards against a task that stays paused for good. */
+        @Test
+        void taskGetsFullSpeedOnAWorkerWithoutServingTasks() {
+            restore("fill", step(1, 1, 1_000).fills().build());
+            mFixture.report("w1", List.of(active("fill", 0)), List.of());
+            assertThat(orderedPercents()).containsExactly(100);
+        }
+
+        /** Guards against a task that disturbs a serving task by its full speed. */
+        @Test
+        void taskGetsALowSpeedBesideAServingTask() {
+            restore("serve", step(1, 1, 1_000).serves(TAIL_TARGET_MS).build());
+            restore("fill", step(1, 1, 1_000).fills().build());
+            mFixture.report(
+                    "w1",
+                    List.of(active("serve", TAIL_TARGET_MS / 2), active("fill", 0)),
+                    List.of());
+            assertThat(orderedPercents()).hasSize(1).allMatch(percent -> percent < 50);
+        }
+
+        private void restore(String job, StepPlan plan) {
+            mFixture.submit(
+                    job,
+                    BULK,
+                    new ProgressRecord(WorkState.ACTIVE, List.of(progress(0, "w1"))),
+                    plan);
+            mFixture.addWorkerEntry("w1", "r1");
+        }
+
+        private static ActiveRun active(String job, long usage) {
+            RunRef run = new RunRef(new TaskRef(new JobId(job), 0, 0, 0), 1);
+            return new ActiveRun(run, "", 100, usage);
+        }
+
+        private List<Integer> orderedPercents() {
+            return mFixture.scheduler.takeActions().stream()
+                    .filter(JobAction.Throttle.class::isInstance)
+                    .map(action -> ((JobAction.Throttle) action).percent())
+                    .toList();
+        }
+    }
+
     @Nested
     class AbsentWorkers {
         /**
