evacuation: start nothing in a failure domain that operators evacuate

Cause: nothing read the operators' requests to evacuate a failure domain.

Change: the owner watches the requests and lists them before its first start. The scheduler marks the workers of evacuated domains; every path to a start respects the mark. Runs that have started continue. The watch exists only where the settings name evacuation_ms. A worker's entry now has to name its failure domain, without which it could not be evacuated.

Tests: EvacuationTest (decisions), OwnerSessionTest.Evacuations (a new owner, the listing fails first), PlatformDaemonTest.Evacuations (next owner, request in a silence of the store). They do not compile against the code before, which knows no such request.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.lycheeroad.coordination.jobs.Run.Phase;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.ClusterConfig;
@@ -21,6 +22,10 @@
     public final Set<Job> unsavedJobs = new LinkedHashSet<>();
     public final RolloutTracker rollout = new RolloutTracker();
     public final DurationEstimator durationEstimator;
+
+    /** The failure domains in which the operators want no more runs to start. */
+    private Set<FailureDomainId> mEvacuatedDomains = Set.of();
+
     public ClusterConfig config = new ClusterConfig(0, List.of(), List.of());
     private List<JobAction> mActions = new ArrayList<>();
 
@@ -37,6 +42,21 @@
         return workers.computeIfAbsent(id, Worker::new);
     }
 
+    /** Sets the failure domains in which no runs may start. */
+    void setEvacuatedDomains(Set<FailureDomainId> domains) {
+        mEvacuatedDomains = Set.copyOf(domains);
+        workers.values().forEach(this::applyEvacuation);
+    }
+
+    /** Keeps new runs off a worker whose failure domain is evacuated, also those reserved for. */
+    void applyEvacuation(Worker worker) {
+        worker.evacuated =
+                worker.entry != null && mEvacuatedDomains.contains(worker.entry.failureDomain());
+        if (worker.evacuated) {
+            worker.reservations.clear();
+        }
+    }
+
     /** Returns the orders issued since the last call. */
     List<JobAction> takeActions() {
         List<JobAction> actions = mActions;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -161,7 +161,7 @@
         Resources capacity = Resources.NONE;
         Resources used = Resources.NONE;
         for (Worker worker : mState.workers.values()) {
-            if (worker.registered && Placement.isEligible(step, worker)) {
+            if (worker.registered && !worker.evacuated && Placement.isEligible(step, worker)) {
                 capacity = capacity.plus(worker.entry.capacity());
                 used = used.plus(worker.usedResources());
             }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.lycheeroad.coordination.jobs.Run.Phase;
 import org.lycheeroad.coordination.jobs.Worker.UnsavedEnd;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.TeamId;
 import org.lycheeroad.state.id.WorkerId;
@@ -75,6 +77,14 @@
         }
     }
 
+    /**
+     * Sets the failure domains in which no runs may start, all others being open to them. Runs that
+     * have started there continue.
+     */
+    public void onEvacuations(Set<FailureDomainId> domains) {
+        mState.setEvacuatedDomains(domains);
+    }
+
     /**
      * Adds an accepted job.
      *
@@ -133,6 +143,7 @@
             worker.leavesAtMs = entry.draining() ? nowMs + entry.remainingMs() : Long.MAX_VALUE;
         }
         worker.entry = entry;
+        mState.applyEvacuation(worker);
         worker.registered = true;
         mState.rollout.onEntry(worker, nowMs);
         if (worker.incarnation == 0) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -164,8 +164,7 @@
         }
         Map<RackId, Integer> racks = new HashMap<>();
         for (Worker worker : workers) {
-            if (worker.registered
-                    && !worker.entry.draining()
+            if (worker.isInService()
                     && isEligible(step, worker)
                     && (dataRack.isEmpty() || dataRack.equals(worker.entry.rack().value()))) {
                 int fitting =
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -166,7 +166,8 @@
             }
             case UNKNOWN -> {
                 run.hasUnansweredStart = true;
-                if (nowMs - run.firstStartSentAtMs < START_RETRY_WINDOW_MS) {
+                if (nowMs - run.firstStartSentAtMs < START_RETRY_WINDOW_MS
+                        && !run.worker.evacuated) {
                     mState.sendStart(run, nowMs);
                 } else {
                     mState.stopRun(run, StopReason.NO_ANSWER, nowMs);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -76,6 +76,9 @@
     /** Whether the worker is in the directory. */
     public boolean registered;
 
+    /** Whether the operators want no more runs to start in the worker's failure domain. */
+    public boolean evacuated;
+
     /** Whether this incarnation has sent this owner a run report. */
     public boolean hasAnswered;
 
@@ -155,14 +158,18 @@
 
     /** Returns whether new runs may be assigned to this worker. */
     boolean isSchedulable(long nowMs) {
-        return registered
+        return isInService()
                 && hasAnswered
                 && !unresponsive
-                && !entry.draining()
                 && unrecordedRuns.isEmpty()
                 && nowMs >= quarantinedUntilMs;
     }
 
+    /** Returns whether the worker is in the directory and there to stay. */
+    boolean isInService() {
+        return registered && !entry.draining() && !evacuated;
+    }
+
     /** Returns whether the newest ended run was a recent success. */
     boolean hasRecentSuccess(long nowMs) {
         return lastSuccessAtMs > lastFailureAtMs && nowMs - lastSuccessAtMs < RECENT_SUCCESS_MS;
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import org.lycheeroad.coordination.jobs.JobScheduler.UnsavedProgress;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.RackId;
 import org.lycheeroad.state.id.TeamId;
@@ -99,6 +100,11 @@
     }
 
     private static WorkerStatus entry(String id, String rack, boolean draining, long remainingMs) {
+        return entry(id, rack, draining, remainingMs, "domain");
+    }
+
+    private static WorkerStatus entry(
+            String id, String rack, boolean draining, long remainingMs, String domain) {
         return new WorkerStatus(
                 new WorkerId(id),
                 INCARNATION,
@@ -108,7 +114,9 @@
                 remainingMs,
                 new Resources(16_000, 32_000, 8),
                 Set.of("a", rack),
-                new RackId(rack));
+                new RackId(rack),
+                "",
+                new FailureDomainId(domain));
     }
 
     /** Adds a worker, which has not reported yet. */
@@ -122,6 +130,17 @@
         report(id, List.of(), List.of());
     }
 
+    /** Adds a worker in a failure domain, which has not reported yet. */
+    void addWorkerEntry(String id, String rack, FailureDomainId domain) {
+        scheduler.onWorkerEntry(entry(id, rack, false, 0, domain.value()), nowMs);
+    }
+
+    /** Adds a worker in a failure domain and applies its first report. */
+    void addWorker(String id, String rack, FailureDomainId domain) {
+        addWorkerEntry(id, rack, domain);
+        report(id, List.of(), List.of());
+    }
+
     void submit(String job, QueueName queue, StepPlan... steps) {
         submit(job, queue, null, steps);
     }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/RolloutTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/RolloutTest.java
@@ -41,7 +41,8 @@
                         entry.capacity(),
                         entry.labels(),
                         entry.rack(),
-                        version),
+                        version,
+                        entry.failureDomain()),
                 mFixture.nowMs);
         mFixture.report(id, incarnation, List.of(), List.of());
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/NodeSettings.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/NodeSettings.java
@@ -22,6 +22,8 @@
  * @param statusRetentionMs how long the state of an ended job stays visible
  * @param shutdownTimeoutMs the time from the termination signal until the daemon must have exited
  * @param minStoreLeaseMs the shortest lease that the store grants
+ * @param evacuationMs the time within which starts in a failure domain must end once the operators
+ *     have requested its evacuation; 0 if they cannot request any
  * @param processorCores the processor time of the VM in cores, or 0 if it is not known
  */
 public record NodeSettings(
@@ -36,6 +38,7 @@
         long statusRetentionMs,
         long shutdownTimeoutMs,
         long minStoreLeaseMs,
+        long evacuationMs,
         double processorCores) {
     public NodeSettings {
         seedPeers = List.copyOf(seedPeers);
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -29,6 +29,7 @@
 import org.lycheeroad.scheduler.port.PlatformSchema;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.event.EventCode;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.JobRecord;
@@ -84,7 +85,12 @@
     private final Map<JobId, ProgressRecord> mLoadedProgress = new HashMap<>();
     private final Set<JobId> mCancelled = new HashSet<>();
     private final List<PrefixWatch> mWatches = new ArrayList<>();
+    private final Set<FailureDomainId> mEvacuatedDomains = new HashSet<>();
     private boolean mJobsLoaded;
+
+    /** Whether the requested evacuations are known, so that runs may start. */
+    private boolean mEvacuationsLoaded;
+
     private boolean mStopped;
     private final PassPacer mPassPacer = new PassPacer();
     private boolean mSaveTimerSet;
@@ -128,6 +134,7 @@
                                 settings.statusRetentionMs()));
         mSaver = new ProgressSaver(store, executor, term, new SaverListener());
         mCleaner = new RecordCleaner(store, executor, term, events);
+        mEvacuationsLoaded = settings.evacuationMs() == 0;
         mEarlierLeasesExpiredAtMs =
                 WorkerSession.latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs());
     }
@@ -169,7 +176,7 @@
             return;
         }
         applyNewestConfig();
-        if (mConfigVersion < 0 || !mTerm.isLeaseValid()) {
+        if (mConfigVersion < 0 || !mEvacuationsLoaded || !mTerm.isLeaseValid()) {
             return;
         }
         try {
@@ -338,6 +345,9 @@
     private void watchJobsAndWorkers() {
         watch(StoreKeys.INTAKE_PREFIX, new IntakeListener());
         watch(mSchema.workerKeyPrefix(), new WorkerListener());
+        if (mSettings.evacuationMs() > 0) {
+            watch(mSchema.evacuationKeyPrefix(), new EvacuationListener());
+        }
         tickPeriodically();
         cleanUpPeriodically();
     }
@@ -445,6 +455,55 @@
         }
     }
 
+    /** Applies the operators' requests to evacuate failure domains. */
+    private final class EvacuationListener implements PrefixWatch.Listener {
+        @Override
+        public void onSnapshot(List<KeyValue> keyValues) {
+            Set<FailureDomainId> listed = new HashSet<>();
+            for (KeyValue keyValue : keyValues) {
+                domainOf(keyValue.key()).ifPresent(listed::add);
+            }
+            Set<FailureDomainId> ended = new HashSet<>(mEvacuatedDomains);
+            ended.removeAll(listed);
+            ended.forEach(this::end);
+            listed.forEach(this::begin);
+            mEvacuationsLoaded = true;
+        }
+
+        @Override
+        public void onPut(KeyValue keyValue) {
+            domainOf(keyValue.key()).ifPresent(this::begin);
+        }
+
+        @Override
+        public void onDelete(String key) {
+            domainOf(key).ifPresent(this::end);
+        }
+
+        private Optional<FailureDomainId> domainOf(String key) {
+            try {
+                return Optional.of(mSchema.parseEvacuation(key));
+            } catch (PlatformSchema.FormatException e) {
+                recordUnreadableValue(key, e.getMessage());
+                return Optional.empty();
+            }
+        }
+
+        private void begin(FailureDomainId domain) {
+            if (mEvacuatedDomains.add(domain)) {
+                mScheduler.onEvacuations(mEvacuatedDomains);
+                mEvents.record(EventCode.EVACUATION_BEGUN, "", "domain=" + domain);
+            }
+        }
+
+        private void end(FailureDomainId domain) {
+            if (mEvacuatedDomains.remove(domain)) {
+                mScheduler.onEvacuations(mEvacuatedDomains);
+                mEvents.record(EventCode.EVACUATION_ENDED, "", "domain=" + domain);
+            }
+        }
+    }
+
     /** Applies changes of the worker entries. */
     private final class WorkerListener implements PrefixWatch.Listener {
         @Override
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/port/PlatformSchema.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/port/PlatformSchema.java
@@ -1,6 +1,7 @@
 package org.lycheeroad.scheduler.port;
 
 import com.google.protobuf.ByteString;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.work.ClusterConfig;
 import org.lycheeroad.state.work.WorkerStatus;
 
@@ -12,6 +13,12 @@
     /** Returns the prefix of the keys of the worker entries. */
     String workerKeyPrefix();
 
+    /** Returns the prefix of the operators' keys that each request the evacuation of a domain. */
+    String evacuationKeyPrefix();
+
+    /** Parses the key of an evacuation; the request stands as long as the key exists. */
+    FailureDomainId parseEvacuation(String key) throws FormatException;
+
     /** Parses a configuration. */
     ClusterConfig parseConfig(ByteString value) throws FormatException;
 
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -22,6 +22,7 @@
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.PlatformSchema;
 import org.lycheeroad.state.id.EntryId;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.time.HybridClock;
 import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.state.work.ClusterConfig;
@@ -183,6 +184,16 @@
             return "workers/";
         }
 
+        @Override
+        public String evacuationKeyPrefix() {
+            return "evacuations/";
+        }
+
+        @Override
+        public FailureDomainId parseEvacuation(String key) {
+            throw new UnsupportedOperationException("parseEvacuation is not used in this test");
+        }
+
         @Override
         public ClusterConfig parseConfig(ByteString value) {
             return new ClusterConfig(Long.parseLong(value.toStringUtf8()), List.of(), List.of());
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.coordination.jobs.OrderAnswer;
 import org.lycheeroad.protocol.json.Json;
@@ -27,6 +27,7 @@
 import org.lycheeroad.scheduler.peer.PeerClient;
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.PlatformSchema;
+import org.lycheeroad.scheduler.port.StoreException;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.id.FailureDomainId;
@@ -54,6 +55,7 @@
     private static final HostPort ADDRESS = new HostPort("127.0.0.1", 1);
     private static final String CONFIG_KEY = "config";
     private static final String WORKER_PREFIX = "workers/";
+    private static final String EVACUATION_PREFIX = "evacuations/";
     private static final QueueName QUEUE = new QueueName("queue");
     private static final ServiceName SERVICE = new ServiceName("service");
 
@@ -61,6 +63,7 @@
     private static final String BROKEN = "broken";
 
     private static final String LATER = "later";
+    private static final String DOMAIN = "north";
     private static final long BORN_MS = 1_000;
     private static final long TIMEOUT_MS = 5_000;
 
@@ -70,8 +73,8 @@
     private final CountingGateway mGateway = new CountingGateway();
     private final ManualClock mClock = new ManualClock();
 
-    @BeforeEach
-    void setUp() {
+    /** Starts a session; {@code evacuationMs} is 0 if the operators cannot evacuate domains. */
+    private void startSession(long evacuationMs) {
         EventRecorder events =
                 new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16));
         ConfigCache config =
@@ -93,7 +96,7 @@
                         config,
                         mExecutor,
                         term,
-                        settings(),
+                        settings(evacuationMs),
                         mClock,
                         events,
                         new NodeMetrics(),
@@ -116,12 +119,44 @@
      */
     @Test
     void workersArePolledEvenIfTheDecisionRoundFails() throws Exception {
+        mStore.mListsBrokenWorker = true;
+        startSession(0);
         await(() -> mGateway.pollCount(BROKEN) >= 1);
         mStore.register(LATER);
         await(() -> mGateway.pollCount(LATER) >= 1);
         assertThat(mGateway.mStarts).hasValue(0);
     }
 
+    @Nested
+    class Evacuations {
+        private static final long EVACUATION_MS = 5_000;
+
+        /** Guards against starts of a new owner in a domain that was evacuated before its term. */
+        @Test
+        void nothingStartsBeforeTheyAreListed() throws Exception {
+            mStore.mListsEvacuations = false;
+            startSession(EVACUATION_MS);
+            mStore.register(LATER);
+            await(() -> mStore.mEvacuationListings.get() >= 2);
+            assertThat(mStore.mCommits).hasValue(0);
+            mStore.mListsEvacuations = true;
+            await(() -> mStore.mCommits.get() > 0);
+        }
+
+        @Test
+        void nothingStartsInAListedDomain() throws Exception {
+            mStore.mEvacuated = true;
+            startSession(EVACUATION_MS);
+            mStore.register(LATER);
+            await(() -> mGateway.pollCount(LATER) >= 1);
+            for (int i = 0; i < 20; i++) {
+                mClock.advance(200);
+                Thread.sleep(10);
+            }
+            assertThat(mStore.mCommits).hasValue(0);
+        }
+    }
+
     private interface Condition {
         boolean holds();
     }
@@ -135,7 +170,7 @@
         }
     }
 
-    private static NodeSettings settings() {
+    private static NodeSettings settings(long evacuationMs) {
         return new NodeSettings(
                 new EntryId("vm"),
                 new RegionId("region"),
@@ -148,12 +183,18 @@
                 120_000,
                 6_000,
                 1_000,
+                evacuationMs,
                 0);
     }
 
     /** A store with one job and one worker, to which a test adds another. */
     private static final class FakeStore implements MetadataStore {
         private final CompletableFuture<WatchResponse> mWorkerWatch = new CompletableFuture<>();
+        private final AtomicInteger mCommits = new AtomicInteger();
+        private final AtomicInteger mEvacuationListings = new AtomicInteger();
+        private volatile boolean mListsBrokenWorker;
+        private volatile boolean mListsEvacuations = true;
+        private volatile boolean mEvacuated;
 
         private void register(String worker) {
             KeyValue entry = new KeyValue(WORKER_PREFIX + worker, ByteString.EMPTY, 2, 0);
@@ -165,7 +206,16 @@
             List<KeyValue> page = new ArrayList<>();
             if (prefix.equals(CONFIG_KEY)) {
                 page.add(new KeyValue(CONFIG_KEY, ByteString.EMPTY, 1, 0));
-            } else if (prefix.equals(WORKER_PREFIX)) {
+            } else if (prefix.equals(EVACUATION_PREFIX)) {
+                mEvacuationListings.incrementAndGet();
+                if (!mListsEvacuations) {
+                    return CompletableFuture.failedFuture(
+                            new StoreException(StoreException.Kind.REFUSED, "busy", null));
+                }
+                if (mEvacuated) {
+                    page.add(new KeyValue(EVACUATION_PREFIX + DOMAIN, ByteString.EMPTY, 1, 0));
+                }
+            } else if (prefix.equals(WORKER_PREFIX) && mListsBrokenWorker) {
                 page.add(new KeyValue(WORKER_PREFIX + BROKEN, ByteString.EMPTY, 1, 0));
             } else if (prefix.equals(StoreKeys.INTAKE_PREFIX)) {
                 StepPlan step = StepPlan.unconstrained(1, Resources.NONE, 1_000);
@@ -196,6 +246,7 @@
 
         @Override
         public CompletableFuture<CommitResult> commit(Transaction transaction) {
+            mCommits.incrementAndGet();
             return new CompletableFuture<>();
         }
 
@@ -226,6 +277,16 @@
             return WORKER_PREFIX;
         }
 
+        @Override
+        public String evacuationKeyPrefix() {
+            return EVACUATION_PREFIX;
+        }
+
+        @Override
+        public FailureDomainId parseEvacuation(String key) {
+            return new FailureDomainId(key.substring(EVACUATION_PREFIX.length()));
+        }
+
         @Override
         public ClusterConfig parseConfig(ByteString value) {
             QueueConfig queue =
@@ -245,7 +306,9 @@
                     0,
                     id.equals(BROKEN) ? null : new Resources(1_000, 1_000, 1),
                     Set.of(),
-                    new RackId("r1"));
+                    new RackId("r1"),
+                    "",
+                    new FailureDomainId(DOMAIN));
         }
     }
 
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -136,6 +136,7 @@
                 120_000,
                 6_000,
                 1_000,
+                0,
                 0);
     }
 
--- a/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
@@ -175,6 +175,7 @@
                 .put("remote_factor", 3)
                 .put("status_s", mStatusRetentionSeconds)
                 .put("config_apply_ms", 3_000)
+                .put("evacuation_ms", 5_000)
                 .put("grace_s", graceS);
         settings.putObject("platform").put("address", store.toString()).put("ttl_min_ms", 1_000);
         return settings.toString().getBytes(StandardCharsets.UTF_8);
--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -45,6 +45,8 @@
     RECORDS_REMOVED(313, "records of ended jobs removed"),
     WORKER_SLOW(314, "worker is slow"),
     WORKER_NOT_SLOW(315, "worker is no longer slow"),
+    EVACUATION_BEGUN(316, "evacuation of a failure domain begun"),
+    EVACUATION_ENDED(317, "evacuation of a failure domain ended"),
 
     ATTEMPT_STARTED(400, "attempt at a target started"),
     ATTEMPT_ENDED(401, "attempt at a target ended"),
--- a/state/src/main/java/org/lycheeroad/state/work/WorkerStatus.java
+++ b/state/src/main/java/org/lycheeroad/state/work/WorkerStatus.java
@@ -1,6 +1,7 @@
 package org.lycheeroad.state.work;
 
 import java.util.Set;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.RackId;
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.topology.HostPort;
@@ -13,6 +14,7 @@
  * @param draining whether the worker is shutting down
  * @param remainingMs the minimum time until a draining worker stops, in milliseconds
  * @param softwareVersion the version of the worker's software, or an empty string
+ * @param failureDomain the failure domain in which the worker runs
  */
 public record WorkerStatus(
         WorkerId id,
@@ -24,12 +26,16 @@
         Resources capacity,
         Set<String> labels,
         RackId rack,
-        String softwareVersion) {
+        String softwareVersion,
+        FailureDomainId failureDomain) {
+    /** The failure domain of workers that do not publish one. */
+    private static final FailureDomainId NO_DOMAIN = new FailureDomainId("none");
+
     public WorkerStatus {
         labels = Set.copyOf(labels);
     }
 
-    /** Creates a status without a software version. */
+    /** Creates a status without a software version and a failure domain. */
     public WorkerStatus(
             WorkerId id,
             long incarnationStartMs,
@@ -50,6 +56,7 @@
                 capacity,
                 labels,
                 rack,
-                "");
+                "",
+                NO_DOMAIN);
     }
 }
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -138,6 +138,7 @@
     class InvalidWorkerEntries {
         private static final String ENTRY =
                 "{\"service\":\"render\",\"address\":\"127.0.0.1:9\",\"state\":\"ready\","
+                        + "\"zone\":\"z1\","
                         + "\"capacity\":{\"cpu\":16000,\"mem_mb\":1000,\"gpu\":8},"
                         + "\"labels\":[\"a\",\"r9\"],\"born\":1,\"seq\":1}";
 
@@ -189,6 +190,53 @@
         }
     }
 
+    @Nested
+    class Evacuations {
+        private static final String EVACUATION = "op/evacuate/z1";
+
+        /** Guards against starts in an evacuated failure domain, also by the next owner. */
+        @Test
+        void nothingStartsUntilTheEvacuationIsTakenBack() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(2, 2)) {
+                fixture.submit(0, jobId(1), "ms=60000", ONE_TASK_PHASE);
+                await("the job runs", () -> fixture.platform.recorder().startCount() == 1);
+                fixture.platform.store().write(EVACUATION, "{}");
+                PlatformFixture.pause(300);
+                fixture.submit(0, jobId(2), "ms=50", ONE_TASK_PHASE);
+                fixture.submit(1, jobId(3), "ms=50", GANG_PHASE);
+                int owner = fixture.awaitOwner();
+                fixture.daemons.get(owner).stopNow();
+                fixture.awaitState(1 - owner, jobId(1), "active");
+                PlatformFixture.pause(1_000);
+                assertThat(fixture.platform.recorder().startCount()).isEqualTo(1);
+                fixture.platform.store().remove(EVACUATION);
+                fixture.awaitState(1 - owner, jobId(2), "completed");
+                assertThat(fixture.cancel(1 - owner, jobId(1)).status()).isEqualTo(200);
+                fixture.awaitState(1 - owner, jobId(3), "completed");
+                assertThat(fixture.platform.recorder().violations()).isEmpty();
+            }
+        }
+
+        /** Guards against an owner that learns of an evacuation only by a watch that was lost. */
+        @Test
+        void evacuationRequestedWhileTheStoreIsSilentIsLearnedAfterwards() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 1)) {
+                fixture.awaitOwner();
+                fixture.platform.store().setMode(Mode.UNRESPONSIVE);
+                fixture.platform.store().write(EVACUATION, "{}");
+                PlatformFixture.pause(500);
+                fixture.platform.store().setMode(Mode.SERVING);
+                fixture.awaitOwner();
+                PlatformFixture.pause(3_000);
+                fixture.submit(0, jobId(1), "ms=50", ONE_TASK_PHASE);
+                PlatformFixture.pause(500);
+                assertThat(fixture.platform.recorder().startCount()).isZero();
+                fixture.platform.store().remove(EVACUATION);
+                fixture.awaitState(0, jobId(1), "completed");
+            }
+        }
+    }
+
     @Nested
     class Configuration {
         /** Guards against VMs that reject the new API key or keep accepting the old one. */
