model: deployments with contention and with uneven workers

Cause: the policy model had neither the load nor the speeds of the two new customers, so that policies could not be compared on them.

--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobPolicyComparison.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobPolicyComparison.java
@@ -8,9 +8,8 @@
 /**
  * Compares scheduling policies on the same simulated days.
  *
- * <p>
- *
- * <p>Argument: the number of seeds (default 50).
+ * <p>Arguments: the number of seeds (default 50), and a regular expression for the names of the
+ * deployments to simulate (default: all).
  */
 public final class JobPolicyComparison {
     private static final int DEFAULT_SEEDS = 50;
@@ -23,12 +22,20 @@
 
     public static void main(String[] args) {
         int seeds = args.length > 0 ? Integer.parseInt(args[0]) : DEFAULT_SEEDS;
+        String names = args.length > 1 ? args[1] : ".*";
         Map<String, SchedulingPolicies> policies = new LinkedHashMap<>();
         policies.put("standard", SchedulingPolicies.standard());
         policies.put("first come, first served", SchedulingPolicies.firstComeFirstServed());
         for (double loadFactor : LOAD_FACTORS) {
             for (Deployment deployment :
-                    List.of(Deployment.shortGangs(loadFactor), Deployment.wideGangs(loadFactor))) {
+                    List.of(
+                            Deployment.shortGangs(loadFactor),
+                            Deployment.wideGangs(loadFactor),
+                            Deployment.contended(loadFactor),
+                            Deployment.uneven(loadFactor))) {
+                if (!deployment.name().matches(names)) {
+                    continue;
+                }
                 policies.forEach(
                         (name, policy) -> compare(deployment, loadFactor, name, policy, seeds));
             }
