intake: ask again for a count while a new daemon does not know the owner

Cause: a daemon is ready once it has a configuration, some milliseconds before it has read the owner's key. A count of pending jobs was answered 503 in that time.

Ruled out: readiness that waits for an owner; without an owner, no VM would take callers.

The race was not brought about on purpose.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -41,6 +41,9 @@
     /** How many revalidations in a row a call waits for. */
     private static final int MAX_REVALIDATION_WAITS = 2;
 
+    /** How often a count is asked for again; a new daemon learns the owner within this time. */
+    private static final int MAX_COUNT_RETRIES = 4;
+
     /** Store outages and failovers last some seconds; a second spreads the retries over time. */
     private static final int RETRY_AFTER_S = 1;
 
@@ -113,7 +116,7 @@
                 request,
                 access -> {
                     if (request.path().length() <= access.queue.pathPrefix().length()) {
-                        return readPendingCount(access);
+                        return readPendingCount(access, MAX_COUNT_RETRIES);
                     }
                     Optional<JobId> id = parseJobId(request, access);
                     return id.isEmpty()
@@ -313,7 +316,8 @@
                         });
     }
 
-    private CompletableFuture<ApiResponse> readPendingCount(QueueAccess access) {
+    /** Reads the count from the owner, which a daemon that has just started does not know yet. */
+    private CompletableFuture<ApiResponse> readPendingCount(QueueAccess access, int retries) {
         return mOwnerService
                 .pendingCount(access.queue.name())
                 .thenCompose(
@@ -321,11 +325,24 @@
                                 own.isPresent()
                                         ? completed(own)
                                         : mPeers.fetchPendingCount(access.queue.name()))
-                .thenApply(
-                        count ->
-                                count.<ApiResponse>map(ApiResponse.PendingCount::new)
-                                        .orElseGet(
-                                                () -> new ApiResponse.Unavailable(RETRY_AFTER_S)));
+                .thenCompose(
+                        count -> {
+                            if (count.isEmpty() && retries > 0) {
+                                CompletableFuture<ApiResponse> retried = new CompletableFuture<>();
+                                mExecutor.schedule(
+                                        RETRY_INTERVAL_MS,
+                                        () ->
+                                                readPendingCount(access, retries - 1)
+                                                        .thenAccept(retried::complete));
+                                return retried;
+                            }
+                            return completed(
+                                    count.<ApiResponse>map(ApiResponse.PendingCount::new)
+                                            .orElseGet(
+                                                    () ->
+                                                            new ApiResponse.Unavailable(
+                                                                    RETRY_AFTER_S)));
+                        });
     }
 
     private static Optional<JobId> parseJobId(ApiRequest request, QueueAccess access) {
