evacuation: show the evacuated failure domains to operators

Cause: only the owner's log told which domains are evacuated.

Change: the gauge lycheeroad_evacuated_domains; GET /v1/evacuations among peers, which only an owner that has listed the requests answers; bin/lycheeroad evacuations, which asks it. explain shows the begin and the end of evacuations around a job.

--- a/cli/src/main/java/org/lycheeroad/cli/CliMain.java
+++ b/cli/src/main/java/org/lycheeroad/cli/CliMain.java
@@ -21,6 +21,7 @@
             RequestCommand.class,
             TimelineCommand.class,
             ExplainCommand.class,
+            EvacuationsCommand.class,
             BenchCommand.class,
             LocalCommand.class
         },
--- a/cli/src/main/java/org/lycheeroad/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/lycheeroad/cli/ExplainCommand.java
@@ -31,7 +31,9 @@
                     EventCode.STORE_SILENT.number(),
                     EventCode.ROLE_GAINED.number(),
                     EventCode.ROLE_LOST.number(),
-                    EventCode.JOBS_LOADED.number());
+                    EventCode.JOBS_LOADED.number(),
+                    EventCode.EVACUATION_BEGUN.number(),
+                    EventCode.EVACUATION_ENDED.number());
 
     /** Cluster events are shown from this time before the job's first event. */
     private static final long CLUSTER_EVENTS_LEAD_MS = 5_000;
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -6,6 +6,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 
 /** The counters and latency histograms of a daemon. */
@@ -17,6 +18,14 @@
     private final Timer mOrderLatency = timer("lycheeroad_order_latency");
     private final Timer mCallLatency = timer("lycheeroad_accept_latency");
 
+    private final AtomicInteger mEvacuatedDomains =
+            mRegistry.gauge("lycheeroad_evacuated_domains", new AtomicInteger());
+
+    /** Sets the number of failure domains in which this daemon, as owner, starts no runs. */
+    public void setEvacuatedDomainCount(int count) {
+        mEvacuatedDomains.set(count);
+    }
+
     /** Counts a poll of a worker. */
     public void countWorkerPoll() {
         mWorkerPolls.increment();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
@@ -1,6 +1,7 @@
 package org.lycheeroad.scheduler.owner;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -16,6 +17,7 @@
 import org.lycheeroad.scheduler.port.PlacementPolicy;
 import org.lycheeroad.scheduler.port.PlatformSchema;
 import org.lycheeroad.scheduler.port.WorkerGateway;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.state.work.QueueName;
@@ -174,6 +176,21 @@
         return count;
     }
 
+    /**
+     * Returns the failure domains in which this VM starts no runs, or empty if it is not the owner.
+     */
+    public CompletableFuture<Optional<Set<FailureDomainId>>> evacuatedDomains() {
+        if (!mIsOwner) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        CompletableFuture<Optional<Set<FailureDomainId>>> domains = new CompletableFuture<>();
+        mExecutor.execute(
+                () ->
+                        domains.complete(
+                                mSession == null ? Optional.empty() : mSession.evacuatedDomains()));
+        return domains;
+    }
+
     private void runSchedulingPass() {
         if (mSession != null) {
             mSession.runSchedulingPass();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -145,6 +145,7 @@
 
     void stop() {
         mStopped = true;
+        mMetrics.setEvacuatedDomainCount(0);
         mSaver.stop();
         mWatches.forEach(PrefixWatch::stop);
         mWorkerSessions.values().forEach(WorkerSession::stop);
@@ -164,6 +165,13 @@
                 : Optional.empty();
     }
 
+    /** Returns the evacuated failure domains, or empty while they are being listed. */
+    Optional<Set<FailureDomainId>> evacuatedDomains() {
+        return mEvacuationsLoaded && !mStopped
+                ? Optional.of(Set.copyOf(mEvacuatedDomains))
+                : Optional.empty();
+    }
+
     /** Makes scheduling decisions and sends orders; called when the executor's queue is empty. */
     void runSchedulingPass() {
         if (!mJobsLoaded || mStopped) {
@@ -491,17 +499,21 @@
 
         private void begin(FailureDomainId domain) {
             if (mEvacuatedDomains.add(domain)) {
-                mScheduler.onEvacuations(mEvacuatedDomains);
-                mEvents.record(EventCode.EVACUATION_BEGUN, "", "domain=" + domain);
+                apply(EventCode.EVACUATION_BEGUN, domain);
             }
         }
 
         private void end(FailureDomainId domain) {
             if (mEvacuatedDomains.remove(domain)) {
-                mScheduler.onEvacuations(mEvacuatedDomains);
-                mEvents.record(EventCode.EVACUATION_ENDED, "", "domain=" + domain);
+                apply(EventCode.EVACUATION_ENDED, domain);
             }
         }
+
+        private void apply(EventCode change, FailureDomainId domain) {
+            mScheduler.onEvacuations(mEvacuatedDomains);
+            mMetrics.setEvacuatedDomainCount(mEvacuatedDomains.size());
+            mEvents.record(change, "", "domain=" + domain);
+        }
     }
 
     /** Applies changes of the worker entries. */
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
@@ -37,6 +37,7 @@
     static final String CONFIG_PATH = "/v1/config";
     static final String OWNER_PATH = "/v1/owner";
     static final String STORE_PATH = "/v1/store";
+    static final String EVACUATIONS_PATH = "/v1/evacuations";
     static final String LEASES_PATH = "/v1/leases/";
     static final String AFTER_PARAMETER = "after";
     static final int OK = 200;
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
@@ -4,6 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
 import org.lycheeroad.scheduler.StoreKeys;
@@ -11,6 +13,7 @@
 import org.lycheeroad.scheduler.intake.JobStore;
 import org.lycheeroad.scheduler.owner.OwnerService;
 import org.lycheeroad.scheduler.port.MetadataStore;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.QueueName;
@@ -45,6 +48,10 @@
             // A call of its own shows whether this daemon reaches the store at present.
             mStore.read(StoreKeys.EPOCH)
                     .whenComplete((epoch, e) -> respondStoreOutcome(call, e == null));
+        } else if (path.equals(PeerClient.EVACUATIONS_PATH)) {
+            mOwnerService
+                    .evacuatedDomains()
+                    .thenAccept(domains -> respond(call, domains.map(PeerServer::lines)));
         } else if (path.startsWith(PeerClient.LEASES_PATH)) {
             handleLease(call, path.substring(PeerClient.LEASES_PATH.length()));
         } else if (path.startsWith(PeerClient.PENDING_PATH)) {
@@ -136,6 +143,11 @@
                 .thenAccept(outcome -> respondText(call, PeerClient.OK, Json.write(outcome)));
     }
 
+    /** Returns the domains in order, one a line. */
+    private static String lines(Set<FailureDomainId> domains) {
+        return domains.stream().sorted().map(domain -> domain + "\n").collect(Collectors.joining());
+    }
+
     private static void respond(HttpCall call, Optional<?> value) {
         if (value.isPresent()) {
             respondText(call, PeerClient.OK, value.get().toString());
