evacuation: tests for every path to a start; no move of a gang that cannot start again

Cause: a gang left a slow worker although another member ran in an evacuated domain, where it could not start again. EvacuationTest.Moves failed on it: all three members were stopped.

Change: such a member needs a place elsewhere, too, before the gang is stopped.

Tests: added a long-running task, tickets and requests to placement policies, both movers, a request that is taken back while a run is saved, a reservation that kept a guaranteed job from reclaiming in another domain. The daemon tests await the owner's evacuations instead of pausing, and a start in another domain shows that starts go on; they count the starts in the evacuated one.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowRunMover.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowRunMover.java
@@ -101,7 +101,8 @@
         List<Run> kept = new ArrayList<>();
         for (Task task : step.plan.gang() ? step.tasks : List.of(run.task)) {
             if (task.run != null && task.run.phase == Phase.RUNNING) {
-                if (task.run.worker.slow) {
+                // A member in an evacuated domain could not start there again.
+                if (task.run.worker.slow || task.run.worker.evacuated) {
                     moved.add(task);
                 } else {
                     kept.add(task.run);
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/EvacuationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/EvacuationTest.java
@@ -1,10 +1,12 @@
 package org.lycheeroad.coordination.jobs;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.ADVISED;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.BULK;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.URGENT;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.ended;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.gang;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.running;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.stops;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.tasks;
@@ -12,7 +14,9 @@
 import static org.lycheeroad.coordination.jobs.StepBuilder.step;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -23,6 +27,7 @@
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerRuns.ActiveRun;
@@ -32,6 +37,7 @@
     private static final FailureDomainId NORTH = new FailureDomainId("north");
     private static final FailureDomainId SOUTH = new FailureDomainId("south");
     private static final FailureDomainId WEST = new FailureDomainId("west");
+    private static final FailureDomainId EAST = new FailureDomainId("east");
     private static final RunRef RUN = new RunRef(new TaskRef(new JobId("j"), 0, 0, 0), 1);
 
     private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
@@ -113,8 +119,50 @@
         }
     }
 
+    @Nested
+    class PlacementPolicies {
+        private static final long VALID_MS = 3_000;
+
+        @Test
+        void areNotAskedAboutWorkersThere() {
+            addWorkerInEachDomain();
+            evacuate(NORTH, WEST);
+            mFixture.submit("j", ADVISED, tasks(1, 1, 1_000));
+            mFixture.runRound();
+            assertThat(mFixture.scheduler.takeAdviceRequests().get(0).workers())
+                    .containsExactly(new WorkerId("s"));
+        }
+
+        /** A ticket from before the evacuation is still valid for the policy's worker. */
+        @Test
+        void ticketThatWasIssuedBeforeIsNotUsed() {
+            mFixture.addWorker("n", "r1", NORTH);
+            mFixture.submit("j", ADVISED, tasks(1, 1, 1_000));
+            mFixture.runRound();
+            AdviceRequest request = mFixture.scheduler.takeAdviceRequests().get(0);
+            evacuate(NORTH);
+            mFixture.scheduler.onAdvice(
+                    request, Map.of(new WorkerId("n"), "ticket"), VALID_MS, mFixture.nowMs);
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            evacuate();
+            assertThat(starts(mFixture.runRound())).hasSize(1);
+        }
+    }
+
     @Nested
     class OrdersUnderWay {
+        /** Guards against a run that is left out by an evacuation that no longer stands. */
+        @Test
+        void runThatIsBeingSavedStartsIfTheEvacuationIsTakenBack() {
+            mFixture.addWorker("n", "r1", NORTH);
+            mFixture.submit("j", BULK, tasks(1, 1, 1_000));
+            mFixture.runRound(false);
+            evacuate(NORTH);
+            evacuate();
+            mFixture.saveAll();
+            assertThat(starts(mFixture.scheduler.takeActions())).hasSize(1);
+        }
+
         @Test
         void runThatIsBeingSavedStartsElsewhere() {
             mFixture.addWorker("n", "r1", NORTH);
@@ -202,11 +250,37 @@
             assertThat(starts(mFixture.runRound())).isEmpty();
         }
 
+        /** Guards against a guaranteed job that waits for a place that it can no longer use. */
+        @Test
+        void reservationThereDoesNotKeepAJobFromReclaimingElsewhere() {
+            mFixture.addWorker("n", "r1", NORTH);
+            mFixture.addWorker("s", "r2", SOUTH);
+            mFixture.submit("bulk", BULK, tasks(16, 1, 60_000));
+            mFixture.acceptStarts(mFixture.runRound());
+            mFixture.submit("urgent", URGENT, tasks(1, 8, 1_000));
+            mFixture.nowMs += 100;
+            boolean north = stops(mFixture.runRound()).get(0).worker().value().equals("n");
+            evacuate(north ? NORTH : SOUTH);
+            mFixture.nowMs += 100;
+            assertThat(stops(mFixture.runRound()))
+                    .extracting(stop -> stop.worker().value())
+                    .contains(north ? "s" : "n");
+        }
+
         /** A failed task of an evacuated domain is attempted in another one. */
         @Test
         void failedRunIsRepeatedElsewhere() {
+            checkThatAFailedRunIsRepeatedElsewhere(tasks(1, 1, 1_000));
+        }
+
+        @Test
+        void failedRunOfALongRunningTaskIsRepeatedElsewhere() {
+            checkThatAFailedRunIsRepeatedElsewhere(step(1, 1, 1_000).longRunning().build());
+        }
+
+        private void checkThatAFailedRunIsRepeatedElsewhere(StepPlan plan) {
             mFixture.addWorker("n", "r1", NORTH);
-            mFixture.submit("j", BULK, tasks(1, 1, 1_000));
+            mFixture.submit("j", BULK, plan);
             JobAction.Start start = starts(mFixture.runRound()).get(0);
             mFixture.acceptStarts(List.of(start));
             evacuate(NORTH);
@@ -218,6 +292,63 @@
         }
     }
 
+    /** Moves that count on a place in an evacuated domain would only lose work. */
+    @Nested
+    class Moves {
+        private static final long NOTICE_MS = 4_000;
+
+        @Test
+        void gangLeavesASlowWorkerForAFreeOne() {
+            assertThat(stopsOfAGangWithASlowMember()).hasSize(3);
+        }
+
+        @Test
+        void gangDoesNotLeaveASlowWorkerForAnEvacuatedDomain() {
+            assertThat(stopsOfAGangWithASlowMember(EAST)).isEmpty();
+        }
+
+        /** The member there could not start again beside the one that moves. */
+        @Test
+        void gangDoesNotLeaveASlowWorkerIfAnotherMemberIsInAnEvacuatedDomain() {
+            assertThat(stopsOfAGangWithASlowMember(NORTH)).isEmpty();
+        }
+
+        @Test
+        void runDoesNotLeaveADrainingWorkerForAnEvacuatedDomain() {
+            mFixture.addWorker("n", "r1", NORTH);
+            mFixture.submit("j", BULK, tasks(1, 8, 20_000));
+            mFixture.acceptStarts(mFixture.runRound());
+            mFixture.addWorker("s", "r2", SOUTH);
+            evacuate(SOUTH);
+            mFixture.scheduler.onWorkerEntry(
+                    JobSchedulerFixture.drainingEntry("n", "r1", NOTICE_MS), mFixture.nowMs);
+            assertThat(stops(mFixture.runRound())).isEmpty();
+            evacuate();
+            assertThat(stops(mFixture.runRound())).hasSize(1);
+        }
+
+        /** Returns which members are stopped while "w" is slow and "e" has room for one of them. */
+        private Set<RunRef> stopsOfAGangWithASlowMember(FailureDomainId... evacuated) {
+            addWorkerInEachDomain();
+            mFixture.submit("j", URGENT, gang(3, 8, 3_300, false));
+            List<JobAction> actions = mFixture.runRound();
+            mFixture.acceptStarts(actions);
+            mFixture.addWorker("e", "r4", EAST);
+            evacuate(evacuated);
+            Set<RunRef> stopped = new HashSet<>();
+            for (int seconds = 1; seconds <= 2; seconds++) {
+                mFixture.nowMs += 1_000;
+                for (JobAction.Start start : starts(actions)) {
+                    String worker = start.worker().value();
+                    int percent = seconds * (worker.equals("w") ? 3 : 30);
+                    mFixture.report(worker, List.of(running(start, percent)), List.of());
+                }
+                stops(mFixture.runRound()).forEach(stop -> stopped.add(stop.run()));
+            }
+            return stopped;
+        }
+    }
+
     @Nested
     class NextOwner {
         @Test
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -10,8 +10,10 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -137,7 +139,7 @@
             mStore.mListsEvacuations = false;
             startSession(EVACUATION_MS);
             mStore.register(LATER);
-            await(() -> mStore.mEvacuationListings.get() >= 2);
+            await(() -> mStore.mEvacuationListings.get() >= 4);
             assertThat(mStore.mCommits).hasValue(0);
             mStore.mListsEvacuations = true;
             await(() -> mStore.mCommits.get() > 0);
@@ -149,11 +151,20 @@
             startSession(EVACUATION_MS);
             mStore.register(LATER);
             await(() -> mGateway.pollCount(LATER) >= 1);
-            for (int i = 0; i < 20; i++) {
-                mClock.advance(200);
-                Thread.sleep(10);
-            }
+            awaitDecisions();
             assertThat(mStore.mCommits).hasValue(0);
+            mStore.endEvacuation();
+            await(() -> mStore.mCommits.get() > 0);
+        }
+
+        /** Lets the session decide several times, with time for its pacing between. */
+        private void awaitDecisions() throws InterruptedException {
+            for (int i = 0; i < 10; i++) {
+                mClock.advance(100);
+                CountDownLatch ran = new CountDownLatch(1);
+                mExecutor.execute(ran::countDown);
+                assertThat(ran.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+            }
         }
     }
 
@@ -190,6 +201,7 @@
     /** A store with one job and one worker, to which a test adds another. */
     private static final class FakeStore implements MetadataStore {
         private final CompletableFuture<WatchResponse> mWorkerWatch = new CompletableFuture<>();
+        private final CompletableFuture<WatchResponse> mEvacuationWatch = new CompletableFuture<>();
         private final AtomicInteger mCommits = new AtomicInteger();
         private final AtomicInteger mEvacuationListings = new AtomicInteger();
         private volatile boolean mListsBrokenWorker;
@@ -201,6 +213,11 @@
             mWorkerWatch.complete(new WatchResponse(List.of(new Change(entry.key(), entry)), 2));
         }
 
+        private void endEvacuation() {
+            mEvacuationWatch.complete(
+                    new WatchResponse(List.of(new Change(EVACUATION_PREFIX + DOMAIN, null)), 2));
+        }
+
         @Override
         public CompletableFuture<Page> list(String prefix, String afterKey) {
             List<KeyValue> page = new ArrayList<>();
@@ -234,9 +251,14 @@
         @Override
         public CompletableFuture<WatchResponse> watch(
                 String prefix, long afterRevision, long waitMs, long slackMs) {
-            return prefix.equals(WORKER_PREFIX) && afterRevision == 1
-                    ? mWorkerWatch
-                    : new CompletableFuture<>();
+            if (afterRevision > 1) {
+                return new CompletableFuture<>();
+            }
+            return switch (prefix) {
+                case WORKER_PREFIX -> mWorkerWatch;
+                case EVACUATION_PREFIX -> mEvacuationWatch;
+                default -> new CompletableFuture<>();
+            };
         }
 
         @Override
--- a/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/ExecutorServer.java
@@ -59,6 +59,7 @@
     private final String mId;
     private final long mStartTimeMs;
     private final String mRack;
+    private final String mZone;
     private final RunRecorder mRecorder;
     private final EventLoopGroup mEventLoops;
     private final HttpServer mServer;
@@ -77,11 +78,13 @@
     public ExecutorServer(
             String id,
             String rack,
+            String zone,
             HostPort listen,
             EventLoopGroup eventLoops,
             RunRecorder recorder) {
         mId = id;
         mRack = rack;
+        mZone = zone;
         mRecorder = recorder;
         mEventLoops = eventLoops;
         mStartTimeMs = System.currentTimeMillis();
@@ -108,6 +111,11 @@
         return mId;
     }
 
+    /** Returns the zone in which the executor runs. */
+    public String zone() {
+        return mZone;
+    }
+
     /** Sets whether the executor leaves all calls unanswered; running tasks continue. */
     public void setUnresponsive(boolean unresponsive) {
         mUnresponsive = unresponsive;
@@ -121,7 +129,7 @@
     /** Returns the registration record that the executor writes to the store. */
     public String registration(String service, String state) {
         ObjectNode record = mMapper.createObjectNode();
-        record.put("service", service).put("address", address().toString()).put("zone", "z1");
+        record.put("service", service).put("address", address().toString()).put("zone", mZone);
         record.put("version", "v1").put("slots", 8).put("state", state).put("cold_left_ms", 0);
         record.putObject("capacity").put("cpu", 16_000).put("mem_mb", 32_768).put("gpu", 8);
         record.putArray("labels").add("a").add(mRack);
--- a/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
@@ -27,6 +27,9 @@
     /** The API key in the initial configuration. */
     public static final String API_KEY = "key-1";
 
+    /** The zone of the daemons, and of executors unless another one is named. */
+    public static final String ZONE = "z1";
+
     private static final String SERVICE = "render";
     private static final int EXECUTORS_PER_RACK = 2;
 
@@ -60,11 +63,17 @@
 
     /** Starts one more executor and registers it in the store. */
     public void addExecutor() throws IOException {
+        addExecutor(ZONE);
+    }
+
+    /** Starts one more executor in a zone and registers it in the store. */
+    public void addExecutor(String zone) throws IOException {
         int number = mExecutors.size();
         ExecutorServer executor =
                 new ExecutorServer(
                         "i-" + number,
                         "r1-" + number / EXECUTORS_PER_RACK,
+                        zone,
                         loopbackAnyPort(),
                         mEventLoops,
                         mRecorder);
@@ -160,7 +169,7 @@
             HostPort store,
             List<Integer> seedPorts) {
         ObjectNode settings = mMapper.createObjectNode().put("node_name", name);
-        settings.put("zone", "z1").put("region", "r1");
+        settings.put("zone", ZONE).put("region", "r1");
         settings.putObject("listen")
                 .put("front", "127.0.0.1:" + frontPort)
                 .put("ready", "127.0.0.1:" + readyPort)
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lycheeroad.standins.platform.ExecutorServer;
 import org.lycheeroad.standins.platform.PlatformStandIn;
 import org.lycheeroad.standins.platform.StoreServer.Mode;
 import org.lycheeroad.transport.http.BufferedHttpResponse;
@@ -192,7 +193,11 @@
 
     @Nested
     class Evacuations {
-        private static final String EVACUATION = "op/evacuate/z1";
+        private static final String OTHER_ZONE = "z2";
+        private static final String EVACUATION = "op/evacuate/" + PlatformStandIn.ZONE;
+
+        /** The time from the request until nothing may start there any more, in the settings. */
+        private static final long EVACUATION_MS = 5_000;
 
         /** Guards against starts in an evacuated failure domain, also by the next owner. */
         @Test
@@ -200,17 +205,18 @@
             try (PlatformFixture fixture = new PlatformFixture(2, 2)) {
                 fixture.submit(0, jobId(1), "ms=60000", ONE_TASK_PHASE);
                 await("the job runs", () -> fixture.platform.recorder().startCount() == 1);
+                int owner = fixture.awaitOwner();
                 fixture.platform.store().write(EVACUATION, "{}");
-                PlatformFixture.pause(300);
+                fixture.awaitEvacuations(owner, PlatformStandIn.ZONE);
                 fixture.submit(0, jobId(2), "ms=50", ONE_TASK_PHASE);
                 fixture.submit(1, jobId(3), "ms=50", GANG_PHASE);
-                int owner = fixture.awaitOwner();
                 fixture.daemons.get(owner).stopNow();
-                fixture.awaitState(1 - owner, jobId(1), "active");
-                PlatformFixture.pause(1_000);
-                assertThat(fixture.platform.recorder().startCount()).isEqualTo(1);
-                fixture.platform.store().remove(EVACUATION);
+                fixture.awaitEvacuations(1 - owner, PlatformStandIn.ZONE);
+                fixture.platform.addExecutor(OTHER_ZONE);
                 fixture.awaitState(1 - owner, jobId(2), "completed");
+                assertThat(startsInZone(fixture)).isEqualTo(1);
+                assertThat(fixture.get(1 - owner, jobId(1)).text()).contains("active");
+                fixture.platform.store().remove(EVACUATION);
                 assertThat(fixture.cancel(1 - owner, jobId(1)).status()).isEqualTo(200);
                 fixture.awaitState(1 - owner, jobId(3), "completed");
                 assertThat(fixture.platform.recorder().violations()).isEmpty();
@@ -226,15 +232,28 @@
                 fixture.platform.store().write(EVACUATION, "{}");
                 PlatformFixture.pause(500);
                 fixture.platform.store().setMode(Mode.SERVING);
-                fixture.awaitOwner();
-                PlatformFixture.pause(3_000);
+                long servingSinceNanos = System.nanoTime();
+                fixture.awaitEvacuations(0, PlatformStandIn.ZONE);
+                assertThat(System.nanoTime() - servingSinceNanos)
+                        .isLessThan(EVACUATION_MS * 1_000_000);
                 fixture.submit(0, jobId(1), "ms=50", ONE_TASK_PHASE);
-                PlatformFixture.pause(500);
-                assertThat(fixture.platform.recorder().startCount()).isZero();
-                fixture.platform.store().remove(EVACUATION);
+                fixture.platform.addExecutor(OTHER_ZONE);
                 fixture.awaitState(0, jobId(1), "completed");
+                assertThat(startsInZone(fixture)).isZero();
+                fixture.platform.store().remove(EVACUATION);
+                fixture.awaitEvacuations(0);
+                fixture.submit(0, jobId(2), "ms=50", GANG_PHASE);
+                fixture.awaitState(0, jobId(2), "completed");
             }
         }
+
+        /** Returns how many runs started in the zone that is evacuated. */
+        private static int startsInZone(PlatformFixture fixture) {
+            return fixture.platform.executors().stream()
+                    .filter(executor -> executor.zone().equals(PlatformStandIn.ZONE))
+                    .mapToInt(ExecutorServer::startedRuns)
+                    .sum();
+        }
     }
 
     @Nested
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformFixture.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformFixture.java
@@ -13,6 +13,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.lycheeroad.platform.PlatformDaemon;
 import org.lycheeroad.standins.platform.PlatformStandIn;
 import org.lycheeroad.standins.platform.StoreAccess;
@@ -34,6 +36,7 @@
     /** The access of each daemon to the store, by the daemon's index. */
     public final List<StoreAccess> storeAccesses = new ArrayList<>();
 
+    private final List<HostPort> mPeerAddresses = new ArrayList<>();
     private final List<byte[]> mSettings = new ArrayList<>();
     private final EventLoopGroup mEventLoopGroup =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -54,6 +57,7 @@
         }
         List<Integer> seedPorts = ports.stream().map(p -> p[2]).toList();
         for (int i = 0; i < vmCount; i++) {
+            mPeerAddresses.add(new HostPort("127.0.0.1", ports.get(i)[2]));
             StoreAccess access = platform.addStoreAccess();
             storeAccesses.add(access);
             byte[] settings =
@@ -145,6 +149,18 @@
         await(id + " is " + state, () -> get(vm, id).text().contains(state));
     }
 
+    /** Waits until a daemon, as owner, starts nothing in exactly these failure domains. */
+    void awaitEvacuations(int vm, String... domains) {
+        String lines = Stream.of(domains).map(d -> d + "\n").collect(Collectors.joining());
+        await(
+                List.of(domains) + " are evacuated",
+                () -> {
+                    BufferedHttpResponse response =
+                            call(mPeerAddresses.get(vm), "GET", "/v1/evacuations", "", "");
+                    return response.status() == 200 && response.text().equals(lines);
+                });
+    }
+
     static String jobId(int number) {
         return String.format("%016x", number);
     }
