fault exploration: domains are evacuated and taken back at random

Workers are spread over three failure domains; an owner learns of a request within 1.5 s, a new one before its first decision. A start that is sent to a domain that the owner knows to be evacuated is a violation.

The injected defect, a new owner that does not learn of earlier evacuations, is found.

--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultExplorationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultExplorationTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntFunction;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.coordination.jobs.FaultSimulation.Defect;
@@ -13,7 +14,8 @@
  * Simulates owner changes, late orders, lost answers and partitioned workers with fixed seeds.
  *
  * <p>Checked invariants: a task has at most one run at a time, no run starts after its task's
- * success was acknowledged, every accepted job ends, and no run outlasts its job.
+ * success was acknowledged, every accepted job ends, no run outlasts its job, and no start is sent
+ * to a failure domain that the owner knows to be evacuated.
  */
 class FaultExplorationTest {
     private static final int SEEDS = 300;
@@ -26,10 +28,19 @@
     }
 
     private static List<String> explore(Defect defect, Workload workload, int seeds) {
+        return explore(seed -> new FaultSimulation(seed, WORKERS, defect, workload), seeds);
+    }
+
+    private static List<String> exploreEvacuations(Defect defect, Workload workload, int seeds) {
+        return explore(
+                seed -> new FaultSimulation(seed, WORKERS, defect, workload).withEvacuations(),
+                seeds);
+    }
+
+    private static List<String> explore(IntFunction<FaultSimulation> simulations, int seeds) {
         List<String> violations = new ArrayList<>();
         for (int seed = 0; seed < seeds; seed++) {
-            List<String> found =
-                    new FaultSimulation(seed, WORKERS, defect, workload).run(JOBS, FAULT_PERIOD_MS);
+            List<String> found = simulations.apply(seed).run(JOBS, FAULT_PERIOD_MS);
             if (!found.isEmpty()) {
                 violations.add("seed " + seed + ": " + found.get(0));
             }
@@ -49,6 +60,20 @@
         assertThat(explore(Defect.NONE, Workload.REPEATED_AND_CANCELLED, SEEDS)).isEmpty();
     }
 
+    /**
+     * Guards against starts in evacuated failure domains, and jobs that are lost by evacuations.
+     */
+    @Test
+    void invariantsHoldDuringEvacuations() {
+        assertThat(exploreEvacuations(Defect.NONE, Workload.SINGLE_RUNS, SEEDS)).isEmpty();
+    }
+
+    @Test
+    void invariantsHoldForRepeatedAndCancelledJobsDuringEvacuations() {
+        assertThat(exploreEvacuations(Defect.NONE, Workload.REPEATED_AND_CANCELLED, SEEDS))
+                .isEmpty();
+    }
+
     /** Each injected defect must be detected; otherwise the simulation would prove nothing. */
     @Nested
     class InjectedDefects {
@@ -66,5 +91,11 @@
         void earlyLeaseExpiryIsDetected() {
             assertThat(explore(Defect.EXPIRE_LEASES_EARLY, SEEDS)).isNotEmpty();
         }
+
+        @Test
+        void newOwnerWithoutTheEvacuationsIsDetected() {
+            assertThat(exploreEvacuations(Defect.FORGET_EVACUATIONS, Workload.SINGLE_RUNS, SEEDS))
+                    .isNotEmpty();
+        }
     }
 }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultSimulation.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FaultSimulation.java
@@ -10,6 +10,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.lycheeroad.coordination.jobs.JobScheduler.UnsavedProgress;
+import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.JobPlan;
@@ -57,9 +58,20 @@
         /** Ends are acknowledged to workers before they are saved. */
         ACKNOWLEDGE_UNSAVED_ENDS,
         /** Leases of unresponsive workers are taken as expired too early. */
-        EXPIRE_LEASES_EARLY
+        EXPIRE_LEASES_EARLY,
+        /** A new owner does not learn which domains were evacuated before its term. */
+        FORGET_EVACUATIONS
     }
 
+    /** How long after a request the owner learns of it at most. */
+    private static final int MAX_EVACUATION_DELAY_MS = 1_500;
+
+    private static final List<FailureDomainId> DOMAINS =
+            List.of(
+                    new FailureDomainId("north"),
+                    new FailureDomainId("south"),
+                    new FailureDomainId("west"));
+
     /** The actual state of a worker, as opposed to the scheduler's view. */
     private static final class SimulatedWorker {
         private final Map<TaskRef, RunRef> mRunning = new LinkedHashMap<>();
@@ -84,6 +96,10 @@
     private record Event(long timeMs, long order, Runnable action) {}
 
     private final Random mRandom;
+
+    /** Separate, so that the other faults of a seed are the same with and without evacuations. */
+    private final Random mEvacuationRandom;
+
     private final Defect mDefect;
     private final Workload mWorkload;
     private final Map<WorkerId, SimulatedWorker> mWorkers = new LinkedHashMap<>();
@@ -98,6 +114,17 @@
     /** Tasks whose success was acknowledged, so that the worker has forgotten it. */
     private final Set<TaskRef> mAcknowledgedSuccesses = new HashSet<>();
 
+    private final Map<WorkerId, FailureDomainId> mDomains = new HashMap<>();
+
+    /** The domains whose evacuation is requested. */
+    private final Set<FailureDomainId> mRequestedEvacuations = new HashSet<>();
+
+    /** Those of them of which the owner has been told. */
+    private Set<FailureDomainId> mKnownEvacuations = Set.of();
+
+    private boolean mEvacuates;
+    private long mEvacuationsKnownAtMs = Long.MAX_VALUE;
+
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     (a, b) ->
@@ -112,13 +139,22 @@
 
     FaultSimulation(long seed, int workers, Defect defect, Workload workload) {
         mRandom = new Random(seed);
+        mEvacuationRandom = new Random(seed);
         mDefect = defect;
         mWorkload = workload;
         for (int i = 0; i < workers; i++) {
-            mWorkers.put(new WorkerId("w" + i), new SimulatedWorker());
+            WorkerId id = new WorkerId("w" + i);
+            mWorkers.put(id, new SimulatedWorker());
+            mDomains.put(id, DOMAINS.get(i % DOMAINS.size()));
         }
     }
 
+    /** Lets operators evacuate failure domains and take that back at random. */
+    FaultSimulation withEvacuations() {
+        mEvacuates = true;
+        return this;
+    }
+
     /**
      * Runs jobs with faults for some time, then without faults until all have ended.
      *
@@ -140,8 +176,13 @@
                 all.get(mRandom.nextInt(all.size())).mPartitionedUntilMs =
                         mNowMs + mRandom.nextInt(9_000);
             }
+            if (mEvacuates && mEvacuationRandom.nextInt(60) == 0) {
+                changeEvacuations();
+            }
             tick(true);
         }
+        mRequestedEvacuations.clear();
+        learnEvacuations();
         for (int i = 0; i < 6_000 && !haveAllJobsEnded(); i++) {
             tick(false);
         }
@@ -238,6 +279,23 @@
         mScheduler.onCancel(id, mNowMs);
     }
 
+    /** Evacuates a domain, or takes its evacuation back; the owner learns of it some time later. */
+    private void changeEvacuations() {
+        FailureDomainId domain = DOMAINS.get(mEvacuationRandom.nextInt(DOMAINS.size()));
+        if (!mRequestedEvacuations.remove(domain)) {
+            mRequestedEvacuations.add(domain);
+        }
+        if (mEvacuationsKnownAtMs == Long.MAX_VALUE) {
+            mEvacuationsKnownAtMs = mNowMs + mEvacuationRandom.nextInt(MAX_EVACUATION_DELAY_MS);
+        }
+    }
+
+    private void learnEvacuations() {
+        mEvacuationsKnownAtMs = Long.MAX_VALUE;
+        mKnownEvacuations = Set.copyOf(mRequestedEvacuations);
+        mScheduler.onEvacuations(mKnownEvacuations);
+    }
+
     /** Replaces the owner; orders of the old one may still be in transit. */
     private void replaceOwner() {
         mEpoch++;
@@ -247,14 +305,21 @@
                 (id, record) -> mScheduler.onJob(id, record, mSavedProgress.get(id), 0, mNowMs));
         mCancelledJobs.forEach(id -> mScheduler.onCancel(id, mNowMs));
         for (WorkerId id : mWorkers.keySet()) {
-            mScheduler.onWorkerEntry(JobSchedulerFixture.entry(id.value(), "r1", false), mNowMs);
+            mScheduler.onWorkerEntry(
+                    JobSchedulerFixture.entry(id.value(), "r1", mDomains.get(id)), mNowMs);
             mLeaseExpiryMs.put(
                     id, mNowMs + (mDefect == Defect.EXPIRE_LEASES_EARLY ? 500 : LEASE_EXPIRY_MS));
         }
+        if (mDefect != Defect.FORGET_EVACUATIONS) {
+            learnEvacuations();
+        }
     }
 
     private void tick(boolean faults) {
         mNowMs += TICK_MS;
+        if (mNowMs >= mEvacuationsKnownAtMs) {
+            learnEvacuations();
+        }
         while (!mEvents.isEmpty() && mEvents.peek().timeMs <= mNowMs) {
             mEvents.poll().action.run();
         }
@@ -349,6 +414,10 @@
 
     private void sendOrder(JobAction action, boolean faults) {
         SimulatedWorker worker = mWorkers.get(action.worker());
+        if (action instanceof JobAction.Start
+                && mKnownEvacuations.contains(mDomains.get(action.worker()))) {
+            mViolations.add(action.run() + " is sent to an evacuated domain");
+        }
         long epoch = mEpoch;
         JobScheduler scheduler = mScheduler;
         long expiresAtMs = mNowMs + LEASE_MS;
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -99,6 +99,11 @@
         return entry(id, rack, true, remainingMs);
     }
 
+    /** Returns the entry of a worker in a failure domain. */
+    static WorkerStatus entry(String id, String rack, FailureDomainId domain) {
+        return entry(id, rack, false, 0, domain.value());
+    }
+
     private static WorkerStatus entry(String id, String rack, boolean draining, long remainingMs) {
         return entry(id, rack, draining, remainingMs, "domain");
     }
@@ -132,7 +137,7 @@
 
     /** Adds a worker in a failure domain, which has not reported yet. */
     void addWorkerEntry(String id, String rack, FailureDomainId domain) {
-        scheduler.onWorkerEntry(entry(id, rack, false, 0, domain.value()), nowMs);
+        scheduler.onWorkerEntry(entry(id, rack, domain), nowMs);
     }
 
     /** Adds a worker in a failure domain and applies its first report. */
