store: repeat open watches and overlap probes when the store returns

Cause: a probe of a silent store was sent only after the last one had timed out, so VMs refused callers for up to 1.2 s after the store had returned (traced: 22.22 to 23.37 s after a silence that ended at 22.2 s). Watches sent during the silence were waited for until they timed out, 2.4 s at most (traced: jobs accepted from 22.28 s on were seen by the owner at 22.92 s).

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/HealthTrackingStore.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/HealthTrackingStore.java
@@ -13,7 +13,8 @@
  * Delegates to the store and tracks whether the store is available from this VM.
  *
  * <p>While it is unavailable, it is probed at short intervals, and API calls can be rejected
- * without waiting for a time-out.
+ * without waiting for a time-out. Once it is available again, the open watches are repeated, since
+ * those that were sent during an outage may never be answered.
  */
 public final class HealthTrackingStore implements MetadataStore {
     /** One lost response does not indicate an outage; two in a row do. */
@@ -26,8 +27,14 @@
     private final Clock mClock;
     private final EventRecorder mEvents;
     private int mConsecutiveFailures;
+
+    /** The number of outages that have ended. */
+    private volatile int mOutages;
+
     private volatile long mFailingSinceMs;
+    private final OpenWatches mOpenWatches = new OpenWatches();
     private boolean mProbeInFlight;
+    private boolean mProbeScheduled;
     private volatile boolean mUnavailable;
     private volatile LongConsumer mUnavailableAction = failingForMs -> {};
 
@@ -70,15 +77,21 @@
     @Override
     public CompletableFuture<WatchResponse> watch(
             String prefix, long afterRevision, long waitMs, long slackMs) {
-        // The store may drop a waiting watch at any time, so a failed watch does not count as a
-        // failure but triggers a probe.
+        return mOpenWatches.send(() -> watchOnce(prefix, afterRevision, waitMs, slackMs));
+    }
+
+    /**
+     * Sends one copy of a watch. The store may drop a waiting watch at any time, so a failed watch
+     * does not count as a failure but triggers a probe.
+     */
+    private CompletableFuture<WatchResponse> watchOnce(
+            String prefix, long afterRevision, long waitMs, long slackMs) {
         return mDelegate
                 .watch(prefix, afterRevision, waitMs, slackMs)
                 .whenComplete(
                         (response, failure) -> {
-                            if (failure == null
-                                    || isStoreResponse(StoreException.kindOf(failure))) {
-                                recordOutcome(null);
+                            if (isAnswered(failure)) {
+                                recordOutcome(null, mOutages);
                             } else {
                                 mExecutor.execute(this::probe);
                             }
@@ -106,21 +119,28 @@
     }
 
     private <T> CompletableFuture<T> track(CompletableFuture<T> call) {
-        return call.whenComplete((value, failure) -> recordOutcome(failure));
+        int outagesBefore = mOutages;
+        return call.whenComplete((value, failure) -> recordOutcome(failure, outagesBefore));
     }
 
-    private synchronized void recordOutcome(Throwable failure) {
-        if (failure == null || isStoreResponse(StoreException.kindOf(failure))) {
+    private synchronized void recordOutcome(Throwable failure, int outagesBefore) {
+        if (isAnswered(failure)) {
             mConsecutiveFailures = 0;
             if (mUnavailable) {
                 mUnavailable = false;
+                mOutages++;
                 mEvents.record(
                         EventCode.STORE_ANSWERS,
                         "",
                         "away_ms=" + (mClock.monotonicMs() - mFailingSinceMs));
+                mExecutor.execute(mOpenWatches::repeatAll);
             }
             return;
         }
+        if (outagesBefore != mOutages) {
+            // The call was sent during an outage that has ended.
+            return;
+        }
         mConsecutiveFailures++;
         if (mConsecutiveFailures == 1) {
             mFailingSinceMs = mClock.monotonicMs();
@@ -131,30 +151,45 @@
                     EventCode.STORE_SILENT,
                     "",
                     "failures=" + mConsecutiveFailures + " last=\"" + failure.getMessage() + '"');
-            mExecutor.execute(this::probe);
+            mExecutor.execute(this::probeWhileUnavailable);
         }
     }
 
-    /** Reads a key from the store repeatedly until the store responds. */
+    /** Checks after a failed watch whether the store still responds. */
     private void probe() {
-        if (!mProbeInFlight) {
+        if (!mProbeInFlight && !mUnavailable) {
             mProbeInFlight = true;
-            if (mUnavailable) {
-                mUnavailableAction.accept(mClock.monotonicMs() - mFailingSinceMs);
-            }
             mExecutor.whenComplete(
                     read(StoreKeys.EPOCH),
                     (keyValue, e) -> {
                         mProbeInFlight = false;
-                        if (e != null) {
-                            mExecutor.schedule(mUnavailable ? PROBE_INTERVAL_MS : 0, this::probe);
+                        if (!isAnswered(e)) {
+                            probe();
                         }
                     });
         }
     }
 
-    /** Returns whether a failure was reported by the store itself, which is therefore available. */
-    private static boolean isStoreResponse(StoreException.Kind kind) {
-        return kind == StoreException.Kind.COMPACTED || kind == StoreException.Kind.LEASE_ENDED;
+    /**
+     * Sends probes at regular intervals until the store responds. They do not wait for the
+     * responses to earlier ones, since a silent store lets each of them time out.
+     */
+    private void probeWhileUnavailable() {
+        if (!mUnavailable || mProbeScheduled) {
+            return;
+        }
+        mUnavailableAction.accept(mClock.monotonicMs() - mFailingSinceMs);
+        read(StoreKeys.EPOCH);
+        mProbeScheduled = true;
+        mExecutor.schedule(
+                PROBE_INTERVAL_MS,
+                () -> {
+                    mProbeScheduled = false;
+                    probeWhileUnavailable();
+                });
+    }
+
+    private static boolean isAnswered(Throwable failure) {
+        return failure == null || StoreException.isFromStore(failure);
     }
 }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/port/StoreException.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/port/StoreException.java
@@ -42,4 +42,10 @@
         }
         return Kind.UNKNOWN;
     }
+
+    /** Returns whether a failure was reported by the store itself, which is therefore available. */
+    public static boolean isFromStore(Throwable failure) {
+        Kind kind = kindOf(failure);
+        return kind == Kind.COMPACTED || kind == Kind.LEASE_ENDED;
+    }
 }
