jobs: count a run as stalled only by what its worker has reported

Cause: while the store is silent, the owner cannot renew its lease and polls no worker. When it polled again, the time without reports counted as time without progress.

Change: the time without progress ends with the last report.

JobSchedulerTest.runWithoutReportsIsNotStalled failed before: the run was stopped with reason STALLED.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunProgress.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunProgress.java
@@ -78,6 +78,11 @@
         return mAdvancedAtMs;
     }
 
+    /** Returns when the percentage was last reported; what has happened since is unknown. */
+    long reportedAtMs() {
+        return mLastAtMs;
+    }
+
     /**
      * Returns whether all work is done; a member of a gang then waits for the others. A
      * long-running task is at work from then on.
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -222,9 +222,7 @@
             for (Run run : new ArrayList<>(worker.runs.values())) {
                 if (run.phase == Phase.STOPPING && nowMs - run.lastStopSentAtMs > STOP_RETRY_MS) {
                     mState.sendStop(run, nowMs);
-                } else if (run.phase == Phase.RUNNING
-                        && !worker.unresponsive
-                        && isStalled(run, nowMs)) {
+                } else if (run.phase == Phase.RUNNING && !worker.unresponsive && isStalled(run)) {
                     run.task.failedWorkers.add(worker.id);
                     recordWorkerFailure(worker, run.task.step, nowMs);
                     mState.stopRun(run, StopReason.STALLED, nowMs);
@@ -234,7 +232,11 @@
         }
     }
 
-    private boolean isStalled(Run run, long nowMs) {
+    /**
+     * Returns whether a run had made no progress for too long when it was last reported. The time
+     * since then does not count, as an owner that cannot renew its lease receives no reports.
+     */
+    private boolean isStalled(Run run) {
         StepInstance step = run.task.step;
         if (step.plan.longRunning()
                 || step.plan.fills()
@@ -242,7 +244,8 @@
             return false;
         }
         long expectedMs = step.expectedMs(mState.durationEstimator);
-        return nowMs - Math.max(run.runningSinceMs, run.progress.advancedAtMs())
+        return run.progress.reportedAtMs()
+                        - Math.max(run.runningSinceMs, run.progress.advancedAtMs())
                 > Math.max(MIN_STALL_MS, Math.round(expectedMs * STALL_FRACTION));
     }
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -274,6 +274,23 @@
                     .contains(StopReason.STALLED);
         }
 
+        /**
+         * Guards against stopping all work, and mistrusting its workers, because the owner could
+         * not poll them during a silence of the store.
+         */
+        @Test
+        void runWithoutReportsIsNotStalled() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.submit("j1", BULK, tasks(1, 1, 10_000));
+            List<JobAction> actions = mFixture.runRound();
+            mFixture.acceptStarts(actions);
+            mFixture.report("w1", List.of(running(actions.get(0), 0)), List.of());
+            mFixture.nowMs += 4_000;
+            assertThat(stops(mFixture.runRound())).isEmpty();
+            mFixture.report("w1", List.of(running(actions.get(0), 40)), List.of());
+            assertThat(stops(mFixture.runRound())).isEmpty();
+        }
+
         /**
          * Guards against stopping a task that takes longer than estimated: its percentage stops
          * rising at the estimate (found with seed 201000690 and on site fcvf, day quiet-1).
