--- a/scheduler/src/test/java/org/lycheeroad/scheduler/HealthTrackingStoreTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/HealthTrackingStoreTest.java
@@ -24,8 +24,8 @@
 import org.lycheeroad.transport.events.EventLog;
 
 class HealthTrackingStoreTest {
-    /** Well below the time after which a call to a silent store fails. */
-    private static final long PROMPT_MS = 600;
+    /** Several probe intervals; the calls to the silent store never end by themselves. */
+    private static final long PROMPT_MS = 2_000;
 
     private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
     private final SerialExecutor mExecutor = new SerialExecutor("test", mTimers);
