cli: evacuations: let the parser create the list of addresses

The command failed with UnsupportedOperationException, as the parser adds to the initial list, which was immutable. Run by hand against a closed port: it reports that nothing answers (not against a daemon); no test covers the command yet.

--- a/cli/src/main/java/org/lycheeroad/cli/EvacuationsCommand.java
+++ b/cli/src/main/java/org/lycheeroad/cli/EvacuationsCommand.java
@@ -19,7 +19,7 @@
 
     @Required
     @Arguments(description = "Addresses of daemons for their peers", title = "host:port")
-    List<String> mPeers = List.of();
+    List<String> mPeers;
 
     @Override
     ExitCode run(PrintStream out, PrintStream err) throws Exception {
