Refuse jobs that surely cannot end usefully under the known load

Every job was accepted however much work was ahead of it; a caller whose job could not end within three times its objective learned so only by waiting. The owner now summarizes the load when a daemon asks for it, and the daemon that a caller has reached refuses with 429 and Retry-After, before anything is written, if the summary is at most 3 s old, of the owner it knows, and leaves no doubt: durations count with a factor of two for the caller on both sides. Stored ids, guaranteed, timed and long-running jobs, teams below an equal part and jobs that fit a worker with room are never refused.

--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/admission/package-info.java
@@ -0,0 +1,2 @@
+/** The decision whether a new job is accepted. */
+package org.lycheeroad.coordination.admission;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -20,6 +20,7 @@
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.Resources;
 import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.ServiceLoad;
 import org.lycheeroad.state.work.ServiceName;
 import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.WorkState;
@@ -53,6 +54,7 @@
     private final SlowRunMover mSlowRunMover;
     private final AdviceRequester mAdviceRequester;
     private final DecisionRound mRound;
+    private final LoadSummarizer mLoadSummarizer;
 
     public JobScheduler(SchedulerSettings settings) {
         this(settings, SchedulingPolicies.standard());
@@ -67,6 +69,7 @@
         SchedulingOrder order = policies.newOrder(mState.durationEstimator);
         mSlowRunMover = new SlowRunMover(mState, order);
         mRound = new DecisionRound(mState, settings, order, mAdviceRequester);
+        mLoadSummarizer = new LoadSummarizer(mState, order);
     }
 
     /** Applies a configuration. */
@@ -310,6 +313,15 @@
         return count;
     }
 
+    /**
+     * Returns the load of all services that have workers.
+     *
+     * @param wallMs the time of day, in milliseconds since 1970
+     */
+    public List<ServiceLoad> summarizeLoad(long nowMs, long wallMs) {
+        return mLoadSummarizer.summarize(nowMs, wallMs);
+    }
+
     /** Returns the number up to which a worker's reported ends are saved and may be forgotten. */
     public long acknowledgedEnd(WorkerId id) {
         Worker worker = mState.workers.get(id);
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
@@ -3,11 +3,15 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.lycheeroad.scheduler.config.ConfigCache;
 import org.lycheeroad.scheduler.intake.JobApi;
 import org.lycheeroad.scheduler.intake.JobStore;
+import org.lycheeroad.scheduler.intake.LoadGate;
+import org.lycheeroad.scheduler.load.LoadTracker;
 import org.lycheeroad.scheduler.log.EventRecorder;
 import org.lycheeroad.scheduler.log.NodeMetrics;
+import org.lycheeroad.scheduler.owner.OwnerRecord;
 import org.lycheeroad.scheduler.owner.OwnerService;
 import org.lycheeroad.scheduler.peer.PeerClient;
 import org.lycheeroad.scheduler.peer.PeerServer;
@@ -70,12 +74,18 @@
                         eventLoopGroup);
         store.setUnavailableAction(mOwnerService::onStoreUnavailable);
         JobStore jobStore = new JobStore(store);
+        LoadTracker load =
+                new LoadTracker(
+                        () -> mOwnerService.isOwner() ? mOwnerService.load() : peers.fetchLoad(),
+                        this::ownerEpoch,
+                        clock);
         mJobApi =
                 new JobApi(
                         mConfigCache,
                         jobStore,
                         mOwnerService,
                         peers,
+                        new LoadGate(load, jobStore, events, metrics),
                         mControlExecutor,
                         clock,
                         events);
@@ -129,6 +139,10 @@
         return mJobApi;
     }
 
+    private OptionalLong ownerEpoch() {
+        return mOwnerService.owner().stream().mapToLong(OwnerRecord::epoch).findFirst();
+    }
+
     private Optional<HostPort> remoteOwnerAddress() {
         return mOwnerService.remoteOwnerAddress();
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/ApiResponse.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/ApiResponse.java
@@ -31,6 +31,9 @@
     /** The request was not carried out; the caller may retry. */
     record Unavailable(int retryAfterSeconds) implements ApiResponse {}
 
+    /** The job was not accepted, as it could not end in time; the caller may retry. */
+    record Overloaded(int retryAfterSeconds) implements ApiResponse {}
+
     /** It is unknown whether the request was carried out. */
     record OutcomeUnknown() implements ApiResponse {}
 }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
+import org.lycheeroad.coordination.admission.AdmissionRequest;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.config.ConfigCache;
 import org.lycheeroad.scheduler.log.EventRecorder;
@@ -48,6 +49,7 @@
     private final JobStore mJobStore;
     private final OwnerService mOwnerService;
     private final PeerClient mPeers;
+    private final LoadGate mLoadGate;
     private final SerialExecutor mExecutor;
     private final Clock mClock;
     private final EventRecorder mEvents;
@@ -57,6 +59,7 @@
             JobStore jobs,
             OwnerService owner,
             PeerClient peers,
+            LoadGate loadGate,
             SerialExecutor executor,
             Clock clock,
             EventRecorder events) {
@@ -64,6 +67,7 @@
         mJobStore = jobs;
         mOwnerService = owner;
         mPeers = peers;
+        mLoadGate = loadGate;
         mExecutor = executor;
         mClock = clock;
         mEvents = events;
@@ -80,16 +84,34 @@
                                 (ApiResponse)
                                         new ApiResponse.Malformed("the path must end in a job id"));
                     }
-                    JobRecord record =
-                            new JobRecord(access.queue.name(), access.team, plan, mClock.wallMs());
-                    return writeWithRetries(
-                                    request,
-                                    () -> mJobStore.accept(id.get(), record),
-                                    () -> mPeers.acceptViaPeers(id.get(), record))
-                            .thenApply(outcome -> onSubmitOutcome(id.get(), access, plan, outcome));
+                    AdmissionRequest job =
+                            new AdmissionRequest(
+                                    id.get(),
+                                    access.team,
+                                    access.guaranteedAccelerators,
+                                    access.queue,
+                                    plan);
+                    return mLoadGate
+                            .check(job)
+                            .thenCompose(
+                                    refusal ->
+                                            refusal.isPresent()
+                                                    ? completed(refusal.get())
+                                                    : store(request, job));
                 });
     }
 
+    private CompletableFuture<ApiResponse> store(ApiRequest request, AdmissionRequest job) {
+        JobRecord record =
+                new JobRecord(job.queue().name(), job.team(), job.plan(), mClock.wallMs());
+        mLoadGate.onWrite(job.id());
+        return writeWithRetries(
+                        request,
+                        () -> mJobStore.accept(job.id(), record),
+                        () -> mPeers.acceptViaPeers(job.id(), record))
+                .thenApply(outcome -> onSubmitOutcome(job, outcome));
+    }
+
     /** Cancels a job. */
     public CompletableFuture<ApiResponse> cancel(ApiRequest request) {
         return withQueue(
@@ -123,7 +145,8 @@
     }
 
     /** The queue and team of a request, or the response with which it is rejected. */
-    private record QueueAccess(QueueConfig queue, TeamId team, ApiResponse rejection) {}
+    private record QueueAccess(
+            QueueConfig queue, TeamId team, int guaranteedAccelerators, ApiResponse rejection) {}
 
     private CompletableFuture<ApiResponse> withQueue(
             ApiRequest request, Function<QueueAccess, CompletableFuture<ApiResponse>> action) {
@@ -174,13 +197,15 @@
     private static QueueAccess checkAccess(ClusterConfig config, ApiRequest request) {
         Optional<QueueConfig> queue = config.queueFor(request.host(), request.path());
         if (queue.isEmpty()) {
-            return new QueueAccess(null, null, new ApiResponse.QueueNotFound());
+            return new QueueAccess(null, null, 0, new ApiResponse.QueueNotFound());
         }
         Optional<TeamId> team = config.teamOf(request.apiKey());
         if (team.isEmpty() && !queue.get().anonymous()) {
-            return new QueueAccess(null, null, new ApiResponse.InvalidApiKey());
+            return new QueueAccess(null, null, 0, new ApiResponse.InvalidApiKey());
         }
-        return new QueueAccess(queue.get(), team.orElse(NO_TEAM), null);
+        TeamId knownTeam = team.orElse(NO_TEAM);
+        return new QueueAccess(
+                queue.get(), knownTeam, config.guaranteedAccelerators(knownTeam), null);
     }
 
     /**
@@ -248,25 +273,25 @@
                 () -> attemptWrite(direct, viaPeers, retryUntilMs, mayBeStored, result));
     }
 
-    private ApiResponse onSubmitOutcome(
-            JobId id, QueueAccess access, JobPlan plan, StoreOutcome outcome) {
+    private ApiResponse onSubmitOutcome(AdmissionRequest job, StoreOutcome outcome) {
+        mLoadGate.onOutcome(job, outcome);
         EventCode code =
                 outcome == StoreOutcome.STORED
                         ? EventCode.JOB_ACCEPTED
                         : EventCode.JOB_NOT_ACCEPTED;
         mEvents.record(
                 code,
-                id.value(),
+                job.id().value(),
                 "queue="
-                        + access.queue.name()
+                        + job.queue().name()
                         + " team="
-                        + access.team
+                        + job.team()
                         + " outcome="
                         + outcome
                         + " config_age_ms="
                         + mConfigCache.ageMs()
                         + " plan="
-                        + describe(plan));
+                        + describe(job.plan()));
         return switch (outcome) {
             case STORED -> new ApiResponse.Accepted();
             case REFUSED -> new ApiResponse.Unavailable(RETRY_AFTER_S);
@@ -334,7 +359,7 @@
     }
 
     /** Summarizes a job's steps: number of tasks, resources of each, and constraints. */
-    private static String describe(JobPlan plan) {
+    static String describe(JobPlan plan) {
         StringBuilder text = new StringBuilder();
         for (StepPlan step : plan.steps()) {
             text.append(text.length() == 0 ? "" : ",")
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobStore.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobStore.java
@@ -49,6 +49,11 @@
                 .handle((result, e) -> e == null ? StoreOutcome.STORED : outcomeOf(e));
     }
 
+    /** Returns whether a job is surely not stored; false if the store does not say so. */
+    public CompletableFuture<Boolean> isAbsent(JobId id) {
+        return mStore.read(StoreKeys.jobKey(id)).handle((job, e) -> e == null && job.isEmpty());
+    }
+
     /** Stores the cancellation of a job. */
     public CompletableFuture<StoreOutcome> cancel(JobId id) {
         if (mStore.isUnavailable()) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -44,6 +44,18 @@
                 .increment();
     }
 
+    /** Counts a job that was refused because of the load. */
+    public void countRefusal(String reason, int priority) {
+        mRegistry
+                .counter(
+                        "lycheeroad_refused_jobs",
+                        "reason",
+                        reason,
+                        "priority",
+                        Integer.toString(priority))
+                .increment();
+    }
+
     /** Counts a call to the metadata store. */
     public void countStoreCall(String call, String outcome) {
         mRegistry.counter("lycheeroad_store_calls", "call", call, "outcome", outcome).increment();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
@@ -18,6 +18,7 @@
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.LoadSummary;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.WorkState;
 
@@ -174,6 +175,17 @@
         return count;
     }
 
+    /** Returns a summary of the load, or empty if this VM is not the owner or does not know it. */
+    public CompletableFuture<Optional<LoadSummary>> load() {
+        if (!mIsOwner) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+        CompletableFuture<Optional<LoadSummary>> load = new CompletableFuture<>();
+        mExecutor.execute(
+                () -> load.complete(mSession == null ? Optional.empty() : mSession.load()));
+        return load;
+    }
+
     private void runSchedulingPass() {
         if (mSession != null) {
             mSession.runSchedulingPass();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -33,6 +33,7 @@
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.LoadSummary;
 import org.lycheeroad.state.work.ProgressRecord;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.WorkState;
@@ -60,6 +61,9 @@
     /** Interval between deletions of old records; with 10 jobs each, suffices for 5 jobs/s. */
     private static final long CLEANUP_INTERVAL_MS = 2_000;
 
+    /** Bounds the work for summaries of the load, however many daemons ask. */
+    private static final long LOAD_INTERVAL_MS = 1_000;
+
     /**
      * Long, as a policy may take seconds for many workers; if its queue is full, it refuses at
      * once.
@@ -97,6 +101,11 @@
     private boolean mPassScheduled;
     private long mConfigVersion = -1;
 
+    /** The newest summary of the load; null before the first. */
+    private LoadSummary mLoad;
+
+    private long mLoadMadeAtMs;
+
     /** The time after which all leases that earlier owners may have granted have expired. */
     private final long mEarlierLeasesExpiredAtMs;
 
@@ -164,6 +173,32 @@
                 : Optional.empty();
     }
 
+    /**
+     * Returns a summary of the load, or empty while the state is being loaded or if another VM may
+     * be the owner. Callers within a short time share one.
+     */
+    Optional<LoadSummary> load() {
+        if (!mJobsLoaded
+                || mStopped
+                || mConfigVersion < 0
+                || !mEvacuationsLoaded
+                || !mTerm.isLeaseValid()) {
+            return Optional.empty();
+        }
+        long nowMs = mClock.monotonicMs();
+        if (mLoad == null || nowMs - mLoadMadeAtMs >= LOAD_INTERVAL_MS) {
+            long version = mLoad == null ? 1 : mLoad.version() + 1;
+            mLoad =
+                    new LoadSummary(
+                            mTerm.epoch(),
+                            version,
+                            0,
+                            mScheduler.summarizeLoad(nowMs, mClock.wallMs()));
+            mLoadMadeAtMs = nowMs;
+        }
+        return Optional.of(mLoad.withAge(nowMs - mLoadMadeAtMs));
+    }
+
     /** Makes scheduling decisions and sends orders; called when the executor's queue is empty. */
     void runSchedulingPass() {
         if (!mJobsLoaded || mStopped) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
@@ -22,6 +22,7 @@
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.LoadSummary;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.transport.http.BufferedHttpResponse;
@@ -34,6 +35,7 @@
 public final class PeerClient {
     static final String JOBS_PATH = "/v1/jobs/";
     static final String PENDING_PATH = "/v1/pending/";
+    static final String LOAD_PATH = "/v1/load";
     static final String CONFIG_PATH = "/v1/config";
     static final String OWNER_PATH = "/v1/owner";
     static final String STORE_PATH = "/v1/store";
@@ -95,6 +97,15 @@
                                         .flatMap(r -> parse(r.text(), Integer::valueOf)));
     }
 
+    /** Fetches a summary of the load from the owner; empty if it does not respond or has none. */
+    public CompletableFuture<Optional<LoadSummary>> fetchLoad() {
+        return callOwner("GET", LOAD_PATH, EMPTY_BODY)
+                .thenApply(
+                        response ->
+                                response.filter(r -> r.status() == OK)
+                                        .flatMap(PeerClient::parseLoad));
+    }
+
     /** Asks the owner, or else seed peers, to write an accepted job to the store. */
     public CompletableFuture<StoreOutcome> acceptViaPeers(JobId id, JobRecord record) {
         byte[] body = Json.write(record).getBytes(StandardCharsets.UTF_8);
@@ -173,6 +184,15 @@
         }
     }
 
+    private static Optional<LoadSummary> parseLoad(BufferedHttpResponse response) {
+        try {
+            return Optional.of(Json.read(response.text(), LoadSummary.class));
+        } catch (JsonException e) {
+            LOG.warn("Cannot parse the load that the owner sent", e);
+            return Optional.empty();
+        }
+    }
+
     /** Returns the peers to relay a write through: the owner and some seeds, in changing order. */
     private List<HostPort> relays() {
         Set<HostPort> relays = new LinkedHashSet<>();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerServer.java
@@ -41,6 +41,8 @@
             handleConfig(call);
         } else if (path.equals(PeerClient.OWNER_PATH)) {
             respond(call, mOwnerService.owner().map(Json::write));
+        } else if (path.equals(PeerClient.LOAD_PATH)) {
+            mOwnerService.load().thenAccept(load -> respond(call, load.map(Json::write)));
         } else if (path.equals(PeerClient.STORE_PATH)) {
             // A call of its own shows whether this daemon reaches the store at present.
             mStore.read(StoreKeys.EPOCH)
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -110,6 +110,29 @@
             }
         }
 
+        /** Guards against refused jobs that run, and against refusals of jobs that are stored. */
+        @Test
+        void jobThatCannotEndInTimeIsRefusedAndNeverRuns() throws Exception {
+            String backlog = "{\"count\":1000,\"gpu\":8,\"estimate_ms\":2000}";
+            String task = "{\"count\":1,\"gpu\":8,\"estimate_ms\":2000}";
+            try (PlatformFixture fixture = new PlatformFixture(1, 2)) {
+                fixture.submit(0, jobId(1), "ms=60000", backlog);
+                await("the backlog runs", () -> fixture.platform.recorder().startCount() == 1);
+                int[] job = {1};
+                await(
+                        "a job is refused",
+                        () -> fixture.submit(0, jobId(++job[0]), "ms=50", task).status() == 429);
+                BufferedHttpResponse refusal = fixture.submit(0, jobId(job[0]), "ms=50", task);
+                assertThat(refusal.status()).isEqualTo(429);
+                assertThat(Integer.parseInt(refusal.header("Retry-After"))).isPositive();
+                assertThat(fixture.get(1, jobId(job[0])).status()).isEqualTo(410);
+                assertThat(fixture.submit(0, jobId(1), "ms=60000", backlog).status())
+                        .isEqualTo(200);
+                assertThat(fixture.platform.store().keys("lycheeroad/"))
+                        .noneMatch(k -> belongsToJob(k, job[0]));
+            }
+        }
+
         private static boolean belongsToJob(String key, int job) {
             return key.contains(jobId(job));
         }
