Log why a job was accepted with what was known of the load

An accepted job's event names the reason and the load, so that the distance to a refusal can be told from logs.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -94,14 +94,15 @@
                     return mLoadGate
                             .check(job)
                             .thenCompose(
-                                    refusal ->
-                                            refusal.isPresent()
-                                                    ? completed(refusal.get())
-                                                    : store(request, job));
+                                    verdict ->
+                                            verdict.refusal().isPresent()
+                                                    ? completed(verdict.refusal().get())
+                                                    : store(request, job, verdict.basis()));
                 });
     }
 
-    private CompletableFuture<ApiResponse> store(ApiRequest request, AdmissionRequest job) {
+    private CompletableFuture<ApiResponse> store(
+            ApiRequest request, AdmissionRequest job, String basis) {
         JobRecord record =
                 new JobRecord(job.queue().name(), job.team(), job.plan(), mClock.wallMs());
         mLoadGate.onWrite(job.id());
@@ -109,7 +110,7 @@
                         request,
                         () -> mJobStore.accept(job.id(), record),
                         () -> mPeers.acceptViaPeers(job.id(), record))
-                .thenApply(outcome -> onSubmitOutcome(job, outcome));
+                .thenApply(outcome -> onSubmitOutcome(job, basis, outcome));
     }
 
     /** Cancels a job. */
@@ -273,7 +274,7 @@
                 () -> attemptWrite(direct, viaPeers, retryUntilMs, mayBeStored, result));
     }
 
-    private ApiResponse onSubmitOutcome(AdmissionRequest job, StoreOutcome outcome) {
+    private ApiResponse onSubmitOutcome(AdmissionRequest job, String basis, StoreOutcome outcome) {
         mLoadGate.onOutcome(job, outcome);
         EventCode code =
                 outcome == StoreOutcome.STORED
@@ -288,6 +289,8 @@
                         + job.team()
                         + " outcome="
                         + outcome
+                        + ' '
+                        + basis
                         + " config_age_ms="
                         + mConfigCache.ageMs()
                         + " plan="
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/LoadGate.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/LoadGate.java
@@ -23,6 +23,20 @@
  * <p>A job that is stored, or may be stored by a write of this daemon, is not refused.
  */
 public final class LoadGate {
+    /**
+     * A decision about a job.
+     *
+     * @param refusal the response with which the job is refused, or empty if it is accepted
+     * @param basis the reason and the load that is known, for the log
+     */
+    record Verdict(Optional<ApiResponse> refusal, String basis) {
+        static Verdict accepted(String basis) {
+            return new Verdict(Optional.empty(), basis);
+        }
+    }
+
+    private static final String LOAD_UNKNOWN = "reason=LOAD_UNKNOWN";
+
     /** Several times the latency to the store; a refusal that takes longer would come too late. */
     private static final long READ_TIMEOUT_MS = 100;
 
@@ -45,16 +59,18 @@
         mMetrics = metrics;
     }
 
-    /** Returns the refusal of a job, or empty if it is to be accepted. */
-    CompletableFuture<Optional<ApiResponse>> check(AdmissionRequest request) {
+    /** Decides about a job; nothing has been written for it before. */
+    CompletableFuture<Verdict> check(AdmissionRequest request) {
         Optional<KnownLoad> load = mLoad.loadOf(request.queue().service());
-        Optional<Admission> refusal =
-                load.map(known -> AdmissionPolicy.decide(request, known))
-                        .filter(Admission::isRefused);
-        if (refusal.isEmpty()
+        if (load.isEmpty()) {
+            return CompletableFuture.completedFuture(Verdict.accepted(LOAD_UNKNOWN));
+        }
+        Admission admission = AdmissionPolicy.decide(request, load.get());
+        String basis = describe(admission, load.get());
+        if (!admission.isRefused()
                 || mJobStore.isStoreUnavailable()
                 || mUncertainJobs.contains(request.id())) {
-            return CompletableFuture.completedFuture(Optional.empty());
+            return CompletableFuture.completedFuture(Verdict.accepted(basis));
         }
         return mJobStore
                 .isAbsent(request.id())
@@ -62,8 +78,8 @@
                 .thenApply(
                         absent ->
                                 absent
-                                        ? Optional.of(refuse(request, refusal.get(), load.get()))
-                                        : Optional.empty());
+                                        ? refuse(request, admission, basis)
+                                        : Verdict.accepted(basis));
     }
 
     /** Handles that a write of a job is about to be sent. */
@@ -81,8 +97,9 @@
         }
     }
 
-    private ApiResponse refuse(AdmissionRequest request, Admission refusal, KnownLoad load) {
+    private Verdict refuse(AdmissionRequest request, Admission refusal, String basis) {
         int priority = request.queue().priority();
+        int retryAfterSeconds = refusal.retryAfterSeconds();
         mMetrics.countRefusal(refusal.reason().name(), priority);
         mEvents.record(
                 EventCode.JOB_NOT_ACCEPTED,
@@ -91,23 +108,28 @@
                         + request.queue().name()
                         + " team="
                         + request.team()
-                        + " outcome=REFUSED reason="
-                        + refusal.reason()
+                        + " outcome=REFUSED "
+                        + basis
                         + " priority="
                         + priority
-                        + " ahead_ms="
-                        + refusal.aheadMs()
-                        + " latest_start_ms="
-                        + refusal.latestStartMs()
-                        + " load_age_ms="
-                        + load.ageMs()
-                        + " epoch="
-                        + load.epoch()
                         + " retry_after_s="
-                        + refusal.retryAfterSeconds()
+                        + retryAfterSeconds
                         + " plan="
                         + JobApi.describe(request.plan()));
-        return new ApiResponse.Overloaded(refusal.retryAfterSeconds());
+        return new Verdict(Optional.of(new ApiResponse.Overloaded(retryAfterSeconds)), basis);
+    }
+
+    private static String describe(Admission admission, KnownLoad load) {
+        return "reason="
+                + admission.reason()
+                + " ahead_ms="
+                + admission.aheadMs()
+                + " latest_start_ms="
+                + admission.latestStartMs()
+                + " load_age_ms="
+                + load.ageMs()
+                + " load_epoch="
+                + load.epoch();
     }
 
     private static final class OldestFirst extends LinkedHashMap<JobId, Boolean> {
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/intake/LoadGateTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/intake/LoadGateTest.java
@@ -129,7 +129,7 @@
     }
 
     private Optional<ApiResponse> check(int job) throws Exception {
-        return mGate.check(request(job)).get(5, TimeUnit.SECONDS);
+        return mGate.check(request(job)).get(5, TimeUnit.SECONDS).refusal();
     }
 
     private static AdmissionRequest request(int job) {
