Refusals: callers return while they still wait

A caller gives up once the time that it waits is over; a Retry-After beyond it would lose the job although room may come. The time is now bounded by the caller's own.

--- a/coordination/src/main/java/org/lycheeroad/coordination/admission/AdmissionPolicy.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/admission/AdmissionPolicy.java
@@ -173,7 +173,8 @@
 
     /**
      * Returns when to come again: the time until there is room, more for a lower priority and for
-     * more work, spread by the job's id, and well before the last useful start.
+     * more work, spread by the job's id. The caller returns while it still waits, and well before
+     * the last useful start.
      */
     private static int retryAfterSeconds(
             AdmissionRequest request, ServiceLoad load, long roomInMs, long latestStartMs) {
@@ -181,10 +182,14 @@
         double ownMs = Math.max(own.cpuMs(), Math.max(own.memoryMs(), own.acceleratorMs()));
         double priority = Math.max(0, request.queue().priority());
         double rank = (priority / (priority + 1) + ownMs / (ownMs + roomInMs)) / 2;
-        double longestMs = latestStartMs * MAX_RETRY_FRACTION / MAX_RETRY_SPREAD;
-        double shortestMs = Math.max(MIN_RETRY_MS, Math.min((double) roomInMs, longestMs));
-        double delayMs = shortestMs * (1 + rank / 2 + spread(request.id()));
-        return (int) Math.ceil(delayMs / MS_PER_SECOND);
+        double longestMs =
+                Math.min(latestStartMs * MAX_RETRY_FRACTION, (double) request.timeoutMs());
+        double shortestMs = Math.min((double) roomInMs, longestMs / MAX_RETRY_SPREAD);
+        double delayMs =
+                Math.max((double) MIN_RETRY_MS, shortestMs) * (1 + rank / 2 + spread(request.id()));
+        double latestMs = Math.max((double) MIN_RETRY_MS, longestMs);
+        return (int)
+                Math.min(Math.ceil(delayMs / MS_PER_SECOND), Math.floor(latestMs / MS_PER_SECOND));
     }
 
     /** Returns a number from 0 to below 1 that is always the same for a job. */
--- a/coordination/src/test/java/org/lycheeroad/coordination/admission/AdmissionPolicyTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/admission/AdmissionPolicyTest.java
@@ -132,6 +132,8 @@
                         .distinct()
                         .count();
         assertThat(times).isGreaterThan(1);
+        ServiceLoad fullForLong = load(work(0, 5_000, 900_000));
+        assertThat(decide(job(3, 500), fullForLong).retryAfterSeconds()).isBetween(1, 3);
         assertThat(decide(job(3, 1), load).retryAfterSeconds())
                 .isGreaterThanOrEqualTo(decide(job(1, 1), load).retryAfterSeconds());
         assertThat(decide(job(1, 500), load).retryAfterSeconds())
@@ -155,7 +157,7 @@
                 new QueueConfig(
                         new QueueName("q"), "h", "/", SERVICE, priority, 3, 1, 1_000, false, null);
         return new AdmissionRequest(
-                new JobId(String.format("%016x", id)), BUSY_TEAM, 10, queue, plan);
+                new JobId(String.format("%016x", id)), BUSY_TEAM, 10, queue, plan, 3_000);
     }
 
     private static JobPlan oneTask() {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -90,7 +90,8 @@
                                     access.team,
                                     access.guaranteedAccelerators,
                                     access.queue,
-                                    plan);
+                                    plan,
+                                    request.timeoutMs());
                     return mLoadGate
                             .check(job)
                             .thenCompose(
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/intake/LoadGateTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/intake/LoadGateTest.java
@@ -137,7 +137,8 @@
                 new QueueConfig(new QueueName("q"), "h", "/", SERVICE, 1, 3, 1, 1_000, false, null);
         StepPlan step = StepPlan.unconstrained(1, NEED, 1_000);
         JobPlan plan = new JobPlan("", List.of(step), 0, 0, 0);
-        return new AdmissionRequest(new JobId(String.format("%016x", job)), TEAM, 0, queue, plan);
+        return new AdmissionRequest(
+                new JobId(String.format("%016x", job)), TEAM, 0, queue, plan, 3_000);
     }
 
     private static LoadSummary overload(long epoch) {
