--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.regex.Pattern;
+import org.lycheeroad.coordination.admission.AdmissionRequest;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.config.ConfigCache;
 import org.lycheeroad.scheduler.log.EventRecorder;
@@ -51,6 +52,7 @@
     private final JobStore mJobStore;
     private final OwnerService mOwnerService;
     private final PeerClient mPeers;
+    private final LoadGate mLoadGate;
     private final SerialExecutor mExecutor;
     private final Clock mClock;
     private final EventRecorder mEvents;
@@ -60,6 +62,7 @@
             JobStore jobs,
             OwnerService owner,
             PeerClient peers,
+            LoadGate loadGate,
             SerialExecutor executor,
             Clock clock,
             EventRecorder events) {
@@ -67,6 +70,7 @@
         mJobStore = jobs;
         mOwnerService = owner;
         mPeers = peers;
+        mLoadGate = loadGate;
         mExecutor = executor;
         mClock = clock;
         mEvents = events;
@@ -83,16 +87,36 @@
                                 (ApiResponse)
                                         new ApiResponse.Malformed("the path must end in a job id"));
                     }
-                    JobRecord record =
-                            new JobRecord(access.queue.name(), access.team, plan, mClock.wallMs());
-                    return writeWithRetries(
-                                    request,
-                                    () -> mJobStore.accept(id.get(), record),
-                                    () -> mPeers.acceptViaPeers(id.get(), record))
-                            .thenApply(outcome -> onSubmitOutcome(id.get(), access, plan, outcome));
+                    AdmissionRequest job =
+                            new AdmissionRequest(
+                                    id.get(),
+                                    access.team,
+                                    access.guaranteedAccelerators,
+                                    access.queue,
+                                    plan,
+                                    request.timeoutMs());
+                    return mLoadGate
+                            .check(job)
+                            .thenCompose(
+                                    verdict ->
+                                            verdict.refusal().isPresent()
+                                                    ? completed(verdict.refusal().get())
+                                                    : store(request, job, verdict.basis()));
                 });
     }
 
+    private CompletableFuture<ApiResponse> store(
+            ApiRequest request, AdmissionRequest job, String basis) {
+        JobRecord record =
+                new JobRecord(job.queue().name(), job.team(), job.plan(), mClock.wallMs());
+        mLoadGate.onWrite(job.id());
+        return writeWithRetries(
+                        request,
+                        () -> mJobStore.accept(job.id(), record),
+                        () -> mPeers.acceptViaPeers(job.id(), record))
+                .thenApply(outcome -> onSubmitOutcome(job, basis, outcome));
+    }
+
     /** Cancels a job. */
     public CompletableFuture<ApiResponse> cancel(ApiRequest request) {
         return withQueue(
@@ -126,7 +150,8 @@
     }
 
     /** The queue and team of a request, or the response with which it is rejected. */
-    private record QueueAccess(QueueConfig queue, TeamId team, ApiResponse rejection) {}
+    private record QueueAccess(
+            QueueConfig queue, TeamId team, int guaranteedAccelerators, ApiResponse rejection) {}
 
     private CompletableFuture<ApiResponse> withQueue(
             ApiRequest request, Function<QueueAccess, CompletableFuture<ApiResponse>> action) {
@@ -177,13 +202,15 @@
     private static QueueAccess checkAccess(ClusterConfig config, ApiRequest request) {
         Optional<QueueConfig> queue = config.queueFor(request.host(), request.path());
         if (queue.isEmpty()) {
-            return new QueueAccess(null, null, new ApiResponse.QueueNotFound());
+            return new QueueAccess(null, null, 0, new ApiResponse.QueueNotFound());
         }
         Optional<TeamId> team = config.teamOf(request.apiKey());
         if (team.isEmpty() && !queue.get().anonymous()) {
-            return new QueueAccess(null, null, new ApiResponse.InvalidApiKey());
+            return new QueueAccess(null, null, 0, new ApiResponse.InvalidApiKey());
         }
-        return new QueueAccess(queue.get(), team.orElse(NO_TEAM), null);
+        TeamId knownTeam = team.orElse(NO_TEAM);
+        return new QueueAccess(
+                queue.get(), knownTeam, config.guaranteedAccelerators(knownTeam), null);
     }
 
     /**
@@ -251,25 +278,27 @@
                 () -> attemptWrite(direct, viaPeers, retryUntilMs, mayBeStored, result));
     }
 
-    private ApiResponse onSubmitOutcome(
-            JobId id, QueueAccess access, JobPlan plan, StoreOutcome outcome) {
+    private ApiResponse onSubmitOutcome(AdmissionRequest job, String basis, StoreOutcome outcome) {
+        mLoadGate.onOutcome(job, outcome);
         EventCode code =
                 outcome == StoreOutcome.STORED
                         ? EventCode.JOB_ACCEPTED
                         : EventCode.JOB_NOT_ACCEPTED;
         mEvents.record(
                 code,
-                id.value(),
+                job.id().value(),
                 "queue="
-                        + access.queue.name()
+                        + job.queue().name()
                         + " team="
-                        + access.team
+                        + job.team()
                         + " outcome="
                         + outcome
+                        + ' '
+                        + basis
                         + " config_age_ms="
                         + mConfigCache.ageMs()
                         + " plan="
-                        + describe(plan));
+                        + describe(job.plan()));
         return switch (outcome) {
             case STORED -> new ApiResponse.Accepted();
             case REFUSED -> new ApiResponse.Unavailable(RETRY_AFTER_S);
@@ -351,7 +380,7 @@
     }
 
     /** Summarizes a job's steps: number of tasks, resources of each, and constraints. */
-    private static String describe(JobPlan plan) {
+    static String describe(JobPlan plan) {
         StringBuilder text = new StringBuilder();
         for (StepPlan step : plan.steps()) {
             text.append(text.length() == 0 ? "" : ",")
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.lycheeroad.scheduler.NodeSettings;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.StoreKeys;
@@ -20,6 +21,7 @@
 import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.LoadSummary;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.WorkState;
 
@@ -150,45 +152,40 @@
 
     /** Returns a job's state, or empty if this VM is not the owner or does not know the job. */
     public CompletableFuture<Optional<WorkState>> stateOf(JobId id) {
-        if (!mIsOwner) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-        CompletableFuture<Optional<WorkState>> state = new CompletableFuture<>();
-        mExecutor.execute(
-                () -> state.complete(mSession == null ? Optional.empty() : mSession.stateOf(id)));
-        return state;
+        return askSession(session -> session.stateOf(id));
     }
 
     /**
      * Returns how many of a queue's jobs have not started, or empty if this VM is not the owner.
      */
     public CompletableFuture<Optional<Integer>> pendingCount(QueueName queue) {
-        if (!mIsOwner) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-        CompletableFuture<Optional<Integer>> count = new CompletableFuture<>();
-        mExecutor.execute(
-                () ->
-                        count.complete(
-                                mSession == null
-                                        ? Optional.empty()
-                                        : mSession.pendingCount(queue)));
-        return count;
+        return askSession(session -> session.pendingCount(queue));
     }
 
     /**
      * Returns the failure domains in which this VM starts no runs, or empty if it is not the owner.
      */
     public CompletableFuture<Optional<Set<FailureDomainId>>> evacuatedDomains() {
+        return askSession(OwnerSession::evacuatedDomains);
+    }
+
+    /** Returns a summary of the load, or empty if this VM is not the owner or does not know it. */
+    public CompletableFuture<Optional<LoadSummary>> load() {
+        return askSession(OwnerSession::load);
+    }
+
+    /** Asks the session on its executor; empty if this VM is not the owner. */
+    private <T> CompletableFuture<Optional<T>> askSession(
+            Function<OwnerSession, Optional<T>> question) {
         if (!mIsOwner) {
             return CompletableFuture.completedFuture(Optional.empty());
         }
-        CompletableFuture<Optional<Set<FailureDomainId>>> domains = new CompletableFuture<>();
+        CompletableFuture<Optional<T>> answer = new CompletableFuture<>();
         mExecutor.execute(
                 () ->
-                        domains.complete(
-                                mSession == null ? Optional.empty() : mSession.evacuatedDomains()));
-        return domains;
+                        answer.complete(
+                                mSession == null ? Optional.empty() : question.apply(mSession)));
+        return answer;
     }
 
     private void runSchedulingPass() {
