overload: let steps give way by what they are worth, if switched on

Cause: ordered by latest start alone, jobs turn late together when there is too little room, whatever they are worth to callers and however much room they need.

Change: coordination.overload plans the waiting work by its ends; what is worth least for the room that it needs gives way, first to a late end, then behind everything. It has no I/O, clock or knowledge of jobs; OverloadTriage feeds it. A step that gives way is logged and counted. LYCHEEROAD_OVERLOAD_TRIAGE=on switches it on; it is off by default.

Ruled out: late work in a tier of its own behind all work in time. A stream of small tasks then starved a wide gang (JobPlacementTest.smallTasksDoNotTakeCapacityReservedForAGang failed), so late work is planned beside work in time at a third of its worth.

Tests: OverloadPlannerTest, OverloadTriageTest (the order, the report and the later start of a job that gives way).

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DeadlineOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DeadlineOrder.java
@@ -1,5 +1,7 @@
 package org.lycheeroad.coordination.jobs;
 
+import org.lycheeroad.coordination.overload.Verdict;
+
 /**
  * Ranks guaranteed steps first, then steps whose jobs can still end usefully, then all others.
  *
@@ -54,6 +56,16 @@
                 : new Rank(TOO_LATE, startMs);
     }
 
+    @Override
+    public Rank rankBehind(StepInstance step, Verdict verdict, long nowMs, long wallMs) {
+        if (verdict == Verdict.USELESS) {
+            return new Rank(TOO_LATE, latencyStartMs(step, nowMs, wallMs));
+        }
+        long remainingMs = step.job.remainingCriticalPathMs(step.occurrence, mEstimator);
+        long latestUsefulMs = lastUsefulEndMs(step, nowMs, wallMs) - remainingMs;
+        return new Rank(USEFUL, latestUsefulMs + priorityBiasMs(step.job));
+    }
+
     /**
      * Allows a remote start shortly before the latest one with which the job still ends within its
      * objective or, if it cannot, with which its result is still useful.
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.lycheeroad.coordination.overload.Verdict;
 import org.lycheeroad.state.work.Resources;
 
 /**
@@ -46,6 +47,7 @@
     private final SchedulerSettings mSettings;
     private final CapacityReclaimer mReclaimer;
     private final SchedulingOrder mOrder;
+    private final OverloadTriage mTriage;
     private final AdviceRequester mAdviceRequester;
 
     /** The number of steps with new reservations in this round. */
@@ -55,12 +57,14 @@
             ClusterState state,
             SchedulerSettings settings,
             SchedulingOrder order,
+            OverloadTriage triage,
             AdviceRequester adviceRequester) {
         mState = state;
         mSettings = settings;
         mAdviceRequester = adviceRequester;
         mReclaimer = new CapacityReclaimer(state);
         mOrder = order;
+        mTriage = triage;
     }
 
     /**
@@ -73,10 +77,17 @@
         mReclaimer.dropExpiredReservations(nowMs);
         List<StepInstance> ready = readySteps(nowMs, wallMs);
         Set<Job> guaranteed = TeamGuarantees.guaranteedJobs(mState);
+        Map<StepInstance, Verdict> verdicts =
+                mSettings.overloadTriage() ? mTriage.judge(ready, nowMs, wallMs) : Map.of();
         Map<StepInstance, SchedulingOrder.Rank> ranks = new HashMap<>();
         for (StepInstance step : ready) {
             boolean guaranteedStep = step.index == 0 && guaranteed.contains(step.job);
-            ranks.put(step, mOrder.rank(step, guaranteedStep, nowMs, wallMs));
+            Verdict verdict = verdicts.getOrDefault(step, Verdict.IN_TIME);
+            ranks.put(
+                    step,
+                    guaranteedStep || verdict == Verdict.IN_TIME
+                            ? mOrder.rank(step, guaranteedStep, nowMs, wallMs)
+                            : mOrder.rankBehind(step, verdict, nowMs, wallMs));
         }
         ready.sort(Comparator.comparing(ranks::get));
         mReservedSteps = 0;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/FifoOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/FifoOrder.java
@@ -1,5 +1,7 @@
 package org.lycheeroad.coordination.jobs;
 
+import org.lycheeroad.coordination.overload.Verdict;
+
 /** Ranks steps by their jobs' arrival and lets them run on any worker; a baseline. */
 final class FifoOrder implements SchedulingOrder {
     private final SchedulingOrder mDeadlines;
@@ -13,6 +15,11 @@
         return new Rank(0, step.job.acceptedAtMs);
     }
 
+    @Override
+    public Rank rankBehind(StepInstance step, Verdict verdict, long nowMs, long wallMs) {
+        return rank(step, false, nowMs, wallMs);
+    }
+
     @Override
     public boolean shouldRunRemotely(
             StepInstance step, double remoteFactor, long nowMs, long wallMs) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -53,6 +53,7 @@
     private final WorkerEvacuator mEvacuator;
     private final SlowRunMover mSlowRunMover;
     private final AdviceRequester mAdviceRequester;
+    private final OverloadTriage mTriage;
     private final DecisionRound mRound;
     private final LoadSummarizer mLoadSummarizer;
 
@@ -68,7 +69,8 @@
         mAdviceRequester = new AdviceRequester(mState);
         SchedulingOrder order = policies.newOrder(mState.durationEstimator);
         mSlowRunMover = new SlowRunMover(mState, order);
-        mRound = new DecisionRound(mState, settings, order, mAdviceRequester);
+        mTriage = new OverloadTriage(mState, order);
+        mRound = new DecisionRound(mState, settings, order, mTriage, mAdviceRequester);
         mLoadSummarizer = new LoadSummarizer(mState, order);
     }
 
@@ -256,6 +258,11 @@
         return mState.takeActions();
     }
 
+    /** Returns the steps that have had to give way under overload since the last call. */
+    public List<GivenWay> takeGivenWay() {
+        return mTriage.takeGivenWay();
+    }
+
     /** Returns the requests to placement policies that were issued since the last call. */
     public List<AdviceRequest> takeAdviceRequests() {
         return mAdviceRequester.takeRequests();
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulerSettings.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulerSettings.java
@@ -8,6 +8,11 @@
  * @param reclaimMs the time within which an urgent job within its guarantee must start
  * @param orderExpiryMs the longest time after sending at which a start order can take effect
  * @param statusRetentionMs how long the status of an ended job must remain available
+ * @param overloadTriage whether steps give way by what they are worth when there is too little room
  */
 public record SchedulerSettings(
-        double remoteFactor, long reclaimMs, long orderExpiryMs, long statusRetentionMs) {}
+        double remoteFactor,
+        long reclaimMs,
+        long orderExpiryMs,
+        long statusRetentionMs,
+        boolean overloadTriage) {}
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulingOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SchedulingOrder.java
@@ -1,5 +1,7 @@
 package org.lycheeroad.coordination.jobs;
 
+import org.lycheeroad.coordination.overload.Verdict;
+
 /** Ranks ready steps and decides how long they wait for workers on which they run at full speed. */
 interface SchedulingOrder {
     /** The rank of a step; lower ranks come first. Times are compared within a tier. */
@@ -18,6 +20,12 @@
      */
     Rank rank(StepInstance step, boolean guaranteed, long nowMs, long wallMs);
 
+    /**
+     * Returns the rank of a step that cannot end in time, or not even usefully, because others need
+     * the room.
+     */
+    Rank rankBehind(StepInstance step, Verdict verdict, long nowMs, long wallMs);
+
     /** Returns whether a step should no longer wait for the rack of its data, or for one rack. */
     boolean shouldRunRemotely(StepInstance step, double remoteFactor, long nowMs, long wallMs);
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.lycheeroad.coordination.overload.Verdict;
 import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TaskRef;
 
@@ -16,6 +17,12 @@
     /** When all steps that this one depends on were first found done; negative before that. */
     public long readySinceMs = -1;
 
+    /** Whether the room that the step needs counts in the mean of its queue. */
+    public boolean countedInMeanRoom;
+
+    /** The worst that was expected of the step under overload. */
+    public Verdict worstVerdict = Verdict.IN_TIME;
+
     /** For gangs, the newest attempt whose failure has been counted. */
     public int lastFailedGangAttempt;
 
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -42,16 +42,32 @@
     static final int MAX_ATTEMPTS = 3;
     static final int GUARANTEED_ACCELERATORS = 16;
     static final long INCARNATION = 1_000;
-    static final SchedulerSettings SETTINGS = new SchedulerSettings(3, 2_700, 6_520, 120_000);
+    static final SchedulerSettings SETTINGS =
+            new SchedulerSettings(3, 2_700, 6_520, 120_000, false);
     private static final ServiceName SERVICE = new ServiceName("service");
 
-    public final JobScheduler scheduler = new JobScheduler(SETTINGS);
+    public final JobScheduler scheduler;
     public long nowMs = 1_000_000;
 
     JobSchedulerFixture() {
+        this(SETTINGS);
+    }
+
+    private JobSchedulerFixture(SchedulerSettings settings) {
+        scheduler = new JobScheduler(settings);
         scheduler.onConfig(config());
     }
 
+    static JobSchedulerFixture withOverloadTriage() {
+        return new JobSchedulerFixture(
+                new SchedulerSettings(
+                        SETTINGS.remoteFactor(),
+                        SETTINGS.reclaimMs(),
+                        SETTINGS.orderExpiryMs(),
+                        SETTINGS.statusRetentionMs(),
+                        true));
+    }
+
     static ClusterConfig config() {
         return new ClusterConfig(
                 1,
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/NodeSettings.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/NodeSettings.java
@@ -24,6 +24,7 @@
  * @param minStoreLeaseMs the shortest lease that the store grants
  * @param evacuationMs the time within which starts in a failure domain must end once the operators
  *     have requested its evacuation; 0 if they cannot request any
+ * @param overloadTriage whether waiting steps give way by what they are worth under overload
  * @param processorCores the processor time of the VM in cores, or 0 if it is not known
  */
 public record NodeSettings(
@@ -39,6 +40,7 @@
         long shutdownTimeoutMs,
         long minStoreLeaseMs,
         long evacuationMs,
+        boolean overloadTriage,
         double processorCores) {
     public NodeSettings {
         seedPeers = List.copyOf(seedPeers);
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -31,6 +31,23 @@
         mWorkerPolls.increment();
     }
 
+    /**
+     * Counts a step that gives way under overload.
+     *
+     * @param expected the name of what is expected of the step
+     * @param priority the priority of its queue
+     */
+    public void countGivenWay(String expected, int priority) {
+        mRegistry
+                .counter(
+                        "lycheeroad_steps_given_way",
+                        "expected",
+                        expected,
+                        "priority",
+                        Integer.toString(priority))
+                .increment();
+    }
+
     /** Counts a value in the store that cannot be parsed and is skipped. */
     public void countUnreadableRecord() {
         mUnreadableRecords.increment();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.lycheeroad.coordination.jobs.AdviceRequest;
+import org.lycheeroad.coordination.jobs.GivenWay;
 import org.lycheeroad.coordination.jobs.JobAction;
 import org.lycheeroad.coordination.jobs.JobScheduler;
 import org.lycheeroad.coordination.jobs.JobScheduler.UnsavedProgress;
@@ -140,7 +141,8 @@
                                 settings.remoteSlowdownFactor(),
                                 settings.reclaimDeadlineMs(),
                                 WorkerSession.latestLeaseExpiryMs(0, settings.maxWorkerLeaseMs()),
-                                settings.statusRetentionMs()));
+                                settings.statusRetentionMs(),
+                                settings.overloadTriage()));
         mSaver = new ProgressSaver(store, executor, term, new SaverListener());
         mCleaner = new RecordCleaner(store, executor, term, events);
         mEvacuationsLoaded = settings.evacuationMs() == 0;
@@ -238,6 +240,7 @@
         mScheduler.runDecisionRound(mClock.monotonicMs(), mClock.wallMs());
         sendOrders();
         mScheduler.takeAdviceRequests().forEach(this::requestAdvice);
+        mScheduler.takeGivenWay().forEach(this::recordGivenWay);
         if (mScheduler.hasUrgentUnsavedProgress()) {
             save();
         } else if (!mSaveTimerSet) {
@@ -339,6 +342,25 @@
                 });
     }
 
+    private void recordGivenWay(GivenWay step) {
+        mMetrics.countGivenWay(step.verdict().name(), step.priority());
+        mEvents.record(
+                EventCode.JOB_GIVES_WAY,
+                step.job().value(),
+                "step="
+                        + step.occurrence()
+                        + "."
+                        + step.step()
+                        + " priority="
+                        + step.priority()
+                        + " expected="
+                        + step.verdict()
+                        + " in_time_for_ms="
+                        + step.latestEndInMs()
+                        + " useful_for_ms="
+                        + step.lastUsefulEndInMs());
+    }
+
     private void applyNewestConfig() {
         mConfigCache
                 .current()
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -195,6 +195,7 @@
                 6_000,
                 1_000,
                 evacuationMs,
+                false,
                 0);
     }
 
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -61,7 +61,8 @@
 
     @BeforeEach
     void setUp() {
-        JobScheduler scheduler = new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000));
+        JobScheduler scheduler =
+                new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000, false));
         Term term = new Term(1, 10, 1, mClock);
         term.extendLease(mClock.monotonicMs() + 100_000);
         WorkerStatus entry =
@@ -137,6 +138,7 @@
                 6_000,
                 1_000,
                 0,
+                false,
                 0);
     }
 
--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -47,6 +47,7 @@
     WORKER_NOT_SLOW(315, "worker is no longer slow"),
     EVACUATION_BEGUN(316, "evacuation of a failure domain begun"),
     EVACUATION_ENDED(317, "evacuation of a failure domain ended"),
+    JOB_GIVES_WAY(318, "job gives way to others for want of room"),
 
     ATTEMPT_STARTED(400, "attempt at a target started"),
     ATTEMPT_ENDED(401, "attempt at a target ended"),
--- a/state/src/main/java/org/lycheeroad/state/work/Resources.java
+++ b/state/src/main/java/org/lycheeroad/state/work/Resources.java
@@ -49,6 +49,17 @@
                 && accelerators <= available.accelerators;
     }
 
+    /** Returns the largest share of any of these resources that another quantity takes. */
+    public double shareOf(Resources part) {
+        return Math.max(
+                ratio(part.accelerators, accelerators),
+                Math.max(ratio(part.cpuMillis, cpuMillis), ratio(part.memoryMb, memoryMb)));
+    }
+
+    private static double ratio(int part, int whole) {
+        return whole <= 0 ? 0 : (double) part / whole;
+    }
+
     /** Returns how many copies fit into the available quantities, at most {@code limit}. */
     public int maxCopiesIn(Resources available, int limit) {
         int copies = limit;
