--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/DecisionRoundBenchmark.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/DecisionRoundBenchmark.java
@@ -75,7 +75,7 @@
     @Setup(Level.Iteration)
     public void setUp() {
         mNowMs = 1_000_000;
-        mScheduler = new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000));
+        mScheduler = new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000, false));
         mScheduler.onConfig(clusterConfig());
         for (int i = 0; i < mWorkers; i++) {
             RackId rack = new RackId("r" + i / WORKERS_PER_RACK);
--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
@@ -118,6 +118,7 @@
     JobSimulation(
             Deployment deployment,
             SchedulingPolicies policies,
+            boolean overloadTriage,
             List<SimulatedJob> jobs,
             long seed) {
         mDeployment = deployment;
@@ -125,7 +126,11 @@
         mScheduler =
                 new JobScheduler(
                         new SchedulerSettings(
-                                Deployment.REMOTE_FACTOR, deployment.reclaimMs(), 10_600, 120_000),
+                                Deployment.REMOTE_FACTOR,
+                                deployment.reclaimMs(),
+                                10_600,
+                                120_000,
+                                overloadTriage),
                         policies);
         mScheduler.onConfig(clusterConfig(deployment));
         Random random = new Random(seed);
