scheduler: learn the speeds of workers and decide by them

Cause: in the model `contended`, a quarter of the workers has less than half the speed of the others. Speeds counted only as a cost for urgent tasks and were drawn towards the mean by a fixed weight; durations were those of whatever worker ran them; gangs mixed workers of all speeds.

Change: FleetSpeeds tells the spread between workers from that between tasks and so weighs the observations of each worker. Durations are kept at the nominal speed. RequiredSpeed leaves out workers too slow for a deadline while faster ones could still meet it, also for preemption and reservations, within bounds. Steps that end in time anywhere, or late anywhere, take slow workers. Gangs run on workers of like speed. Where the standard deviation of the logarithms of speeds is below 0.2, placement stays as it was.

Not part of this: moves of late runs from ordinary slow workers to fast ones, and ranks by the speeds that are free.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
@@ -21,6 +21,7 @@
     public final Map<JobId, Job> endedJobs = new LinkedHashMap<>();
     public final Set<Job> unsavedJobs = new LinkedHashSet<>();
     public final RolloutTracker rollout = new RolloutTracker();
+    public final FleetSpeeds speeds = new FleetSpeeds();
     public final DurationEstimator durationEstimator;
 
     /** The failure domains in which the operators want no more runs to start. */
@@ -82,12 +83,26 @@
         return longestMs;
     }
 
+    /** Returns the speed at which a run ends; that of the slowest member for a gang. */
+    double speedOf(Run run) {
+        double speed = run.worker.speed.value();
+        if (run.task.step.plan.gang()) {
+            for (Task member : run.task.step.tasks) {
+                if (member.run != null && member.run.ref.attempt() == run.ref.attempt()) {
+                    speed = Math.min(speed, member.run.worker.speed.value());
+                }
+            }
+        }
+        return speed;
+    }
+
     private long remainingWorkMs(Run run, long nowMs) {
         if (run.progress.canForecast() || (run.worker.slow && run.progress.isMeasured())) {
             return run.progress.remainingMs(nowMs);
         }
         StepInstance step = run.task.step;
-        long expectedMs = step.expectedMs(durationEstimator);
+        long nominalMs = step.expectedMs(durationEstimator);
+        long expectedMs = Math.round(nominalMs / run.worker.speed.value());
         long elapsedMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
         long doneMs = Math.max(elapsedMs, expectedMs * run.progress.percent() / 100);
         return Math.max(0, expectedMs - doneMs);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -47,6 +47,7 @@
     private final CapacityReclaimer mReclaimer;
     private final SchedulingOrder mOrder;
     private final AdviceRequester mAdviceRequester;
+    private final RequiredSpeed mRequiredSpeed;
 
     /** The number of steps with new reservations in this round. */
     private int mReservedSteps;
@@ -61,6 +62,7 @@
         mAdviceRequester = adviceRequester;
         mReclaimer = new CapacityReclaimer(state);
         mOrder = order;
+        mRequiredSpeed = new RequiredSpeed(state, order);
     }
 
     /**
@@ -70,6 +72,7 @@
      * @param wallMs the time of day, in milliseconds since 1970
      */
     void run(long nowMs, long wallMs) {
+        mState.speeds.update(mState.workers.values(), nowMs);
         mReclaimer.dropExpiredReservations(nowMs);
         List<StepInstance> ready = readySteps(nowMs, wallMs);
         Set<Job> guaranteed = TeamGuarantees.guaranteedJobs(mState);
@@ -109,6 +112,7 @@
         if (tasks.isEmpty()) {
             return;
         }
+        mRequiredSpeed.update(step, mayWaitForSpeed(step, guaranteed, nowMs), nowMs, wallMs);
         boolean allowRemote = mayRunRemotely(step, guaranteed, nowMs, wallMs);
         Map<Task, Worker> assignments = Placement.place(step, tasks, mState, allowRemote, nowMs);
         int attempt = 0;
@@ -144,6 +148,15 @@
         }
     }
 
+    /** Returns whether a step may wait for fast workers while slower ones are free. */
+    private boolean mayWaitForSpeed(StepInstance step, boolean guaranteed, long nowMs) {
+        if (!mState.speeds.isUneven() || isReclaimDue(step, guaranteed, nowMs)) {
+            return false;
+        }
+        step.minSpeed = 0;
+        return nowMs - step.readySinceMs <= IDLE_RACK_WAIT_MS || !isMostlyIdle(step);
+    }
+
     /** Returns whether a step may run on other racks than its data or across racks. */
     private boolean mayRunRemotely(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
         if (guaranteed && nowMs - step.readySinceMs > mSettings.reclaimMs() / 2) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DurationEstimator.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DurationEstimator.java
@@ -5,9 +5,12 @@
 
 /** Estimates task durations from the callers' estimates and from completed tasks. */
 interface DurationEstimator {
-    /** Records the duration of a first run that succeeded without a remote placement. */
+    /**
+     * Records the duration, at the nominal speed, of a first run that succeeded without a remote
+     * placement.
+     */
     void recordDuration(QueueName queue, StepPlan step, long durationMs);
 
-    /** Returns the expected duration of a task in milliseconds. */
+    /** Returns the expected duration of a task at the nominal speed, in milliseconds. */
     long expectedMs(QueueName queue, StepPlan step);
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -351,6 +351,11 @@
         return worker != null && worker.slow;
     }
 
+    /** Returns the learned speeds of the workers, about a second old. */
+    public WorkerSpeeds workerSpeeds() {
+        return mState.speeds.summary();
+    }
+
     /** Returns the workers that may have runs. */
     public List<WorkerId> workersWithRuns() {
         return mState.workers.keySet().stream().filter(this::mayHaveRuns).toList();
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,10 +27,10 @@
     private static final double ACCELERATORS_PER_GB = 0.02;
 
     /**
-     * The cost of the time that an urgent task takes, in remaining accelerators per duration at
-     * normal speed. Urgent jobs have little slack.
+     * The cost of the time that a task without slack takes, in remaining accelerators per duration
+     * at the nominal speed. Urgent jobs have little slack.
      */
-    private static final double URGENT_TIME_COST = 20;
+    private static final double TIME_COST = 20;
 
     /** Ranks workers on the rack of the data before other workers. */
     private static final double REMOTE_COST = 1_000;
@@ -83,15 +84,60 @@
                 }
             }
             if (lasting.size() < workers.size()) {
-                Map<Task, Worker> assignments = place(step, pending, lasting, false, nowMs);
+                Map<Task, Worker> assignments =
+                        placeBySpeed(step, pending, lasting, state.speeds, false, nowMs);
                 if (assignments.size() == pending.size()) {
                     return assignments;
                 }
             }
         }
+        return placeBySpeed(step, pending, workers, state.speeds, allowRemote, nowMs);
+    }
+
+    /**
+     * Places a gang on workers of one class of speeds if it fits there, since it runs at the pace
+     * of its slowest member, or else without as many of the slow workers as possible.
+     */
+    private static Map<Task, Worker> placeBySpeed(
+            StepInstance step,
+            List<Task> pending,
+            Collection<Worker> workers,
+            FleetSpeeds speeds,
+            boolean allowRemote,
+            long nowMs) {
+        if (step.plan.gang() && step.plan.count() > 1 && speeds.isUneven()) {
+            List<Double> classes = new ArrayList<>(speeds.classes());
+            if (!step.prefersSlow) {
+                Collections.reverse(classes);
+            }
+            for (double lowest : classes) {
+                List<Worker> alike = between(workers, lowest, FleetSpeeds.classLimit(lowest));
+                Map<Task, Worker> assignments = place(step, pending, alike, false, nowMs);
+                if (!assignments.isEmpty()) {
+                    return assignments;
+                }
+            }
+            for (int i = speeds.classes().size() - 2; i > 0; i--) {
+                List<Worker> faster = between(workers, speeds.classes().get(i), Double.MAX_VALUE);
+                Map<Task, Worker> assignments = place(step, pending, faster, false, nowMs);
+                if (!assignments.isEmpty()) {
+                    return assignments;
+                }
+            }
+        }
         return place(step, pending, workers, allowRemote, nowMs);
     }
 
+    private static List<Worker> between(Collection<Worker> workers, double low, double high) {
+        List<Worker> found = new ArrayList<>();
+        for (Worker worker : workers) {
+            if (worker.speed.value() >= low && worker.speed.value() <= high) {
+                found.add(worker);
+            }
+        }
+        return found;
+    }
+
     /** Returns whether a step loses much work if it has to leave a worker. */
     private static boolean losesWorkWithItsWorker(StepInstance step, ClusterState state) {
         return !step.plan.longRunning()
@@ -136,6 +182,7 @@
         String label = step.plan.requiredLabel();
         return worker.entry.service().equals(step.job.queue.service())
                 && (label.isEmpty() || worker.entry.labels().contains(label))
+                && worker.speed.value() >= step.minSpeed
                 && !step.policyDecisions.isRefused(worker);
     }
 
@@ -256,6 +303,10 @@
                 idleWorkers.merge(worker.entry.rack(), 1, Integer::sum);
             }
         }
+        if (step.plan.gang()
+                && fittingTasks.values().stream().mapToInt(n -> n).sum() < pending.size()) {
+            return Map.of();
+        }
         Map<Task, Worker> assignments = new LinkedHashMap<>();
         for (Task task : pending) {
             Worker best =
@@ -312,8 +363,10 @@
         if (!dataRack.isEmpty() && !dataRack.equals(worker.entry.rack().value())) {
             cost += REMOTE_COST;
         }
-        if (step.job.queue.priority() == 0 && !step.plan.fills()) {
-            cost += URGENT_TIME_COST / worker.speed.value();
+        if (step.prefersSlow) {
+            cost += TIME_COST * worker.speed.value();
+        } else if (step.minSpeed > 0 || (step.job.queue.priority() == 0 && !step.plan.fills())) {
+            cost += TIME_COST / worker.speed.value();
         }
         if (nowMs - worker.lastHeartbeatAtMs > STALE_HEARTBEAT_MS) {
             cost += STALE_HEARTBEAT_COST;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -31,11 +31,6 @@
      */
     private static final int QUARANTINE_FAILED_STEPS = 2;
 
-    /**
-     * The observed runs on other workers that a run is compared with to learn its worker's speed.
-     */
-    private static final int MIN_SPEED_REFERENCES = 2;
-
     /** A run that fails within this time, or this fraction of its duration, failed at once. */
     private static final long MIN_AT_ONCE_MS = 500;
 
@@ -286,20 +281,16 @@
     }
 
     /** Adds the duration that a run's progress shows to the observations of its step, once. */
-    private static void observeDuration(Run run) {
+    private void observeDuration(Run run) {
         if (!run.durationObserved
                 && !run.remote
                 && !run.worker.slow
                 && SlowWorkerDetector.isMeasurable(run)
                 && run.progress.canForecast()) {
             run.durationObserved = true;
-            ObservedDurations durations = run.task.step.observedDurations;
-            long durationMs = Math.max(1, run.progress.fullDurationMs());
-            long elsewhereMs = durations.medianElsewhereMs(run.worker.id, MIN_SPEED_REFERENCES);
-            if (elsewhereMs > 0) {
-                run.worker.speed.add((double) elsewhereMs / durationMs);
-            }
-            durations.add(run.worker.id, durationMs);
+            StepInstance step = run.task.step;
+            step.observedDurations.add(run.worker, Math.max(1, run.progress.fullDurationMs()));
+            mState.speeds.onObserved(step.observedDurations);
         }
     }
 
@@ -354,8 +345,9 @@
         run.worker.quarantineMs = 0;
         run.worker.lastSuccessAtMs = nowMs;
         if (run.runningSinceMs > 0 && run.task.attempt == 1 && !run.remote) {
+            double ranMs = (nowMs - run.runningSinceMs) * mState.speedOf(run);
             mState.durationEstimator.recordDuration(
-                    step.job.record.queue(), step.plan, nowMs - run.runningSinceMs);
+                    step.job.record.queue(), step.plan, Math.round(ranMs));
         }
         run.task.done = true;
         if (step.plan.gang()) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowWorkerDetector.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowWorkerDetector.java
@@ -64,7 +64,7 @@
             worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + QUARANTINE_MS);
             if (!worker.slow) {
                 worker.slow = true;
-                worker.runs.values().forEach(r -> r.task.step.observedDurations.forget(worker.id));
+                worker.runs.values().forEach(r -> r.task.step.observedDurations.forget(worker));
             }
         } else if (sound > 0 || worker.runs.isEmpty()) {
             worker.slow = false;
@@ -81,7 +81,7 @@
             return Double.NaN;
         }
         long otherMs =
-                run.task.step.observedDurations.medianElsewhereMs(run.worker.id, MIN_OBSERVATIONS);
+                run.task.step.observedDurations.medianElsewhereMs(run.worker, MIN_OBSERVATIONS);
         return otherMs == 0 ? Double.NaN : run.progress.speedRelativeTo(PERCENT / otherMs);
     }
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
@@ -24,6 +24,12 @@
     /** The durations that the progress of the step's runs has shown. */
     public final ObservedDurations observedDurations = new ObservedDurations();
 
+    /** The lowest speed of workers that the step may use; 0 for any. */
+    public double minSpeed;
+
+    /** Whether slow workers serve the step's job as well as fast ones. */
+    public boolean prefersSlow;
+
     /** The decisions of the queue's placement policy, if it has one. */
     public final PolicyDecisions policyDecisions = new PolicyDecisions();
 
@@ -46,7 +52,10 @@
         return failures;
     }
 
-    /** Returns the expected duration of the step's tasks that have not started. */
+    /**
+     * Returns the expected duration of the step's tasks that have not started, at the nominal
+     * speed.
+     */
     long expectedMs(DurationEstimator estimator) {
         if (observedDurations.isEmpty()) {
             return estimator.expectedMs(job.record.queue(), plan);
