scheduler: drop the required speed after each round

Runs that leave a draining or slow worker between rounds were held to the speed that their step needed when it was placed, and could have found no place.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -85,6 +85,8 @@
         mReservedSteps = 0;
         for (StepInstance step : ready) {
             placeStep(step, guaranteed, nowMs, wallMs);
+            // Between rounds, runs that have to leave their workers may go to any other.
+            step.minSpeed = 0;
         }
     }
 
@@ -153,7 +155,6 @@
         if (!mState.speeds.isUneven() || isReclaimDue(step, guaranteed, nowMs)) {
             return false;
         }
-        step.minSpeed = 0;
         return nowMs - step.readySinceMs <= IDLE_RACK_WAIT_MS || !isMostlyIdle(step);
     }
 
