Stop runs only if callers gain more than they lose

An urgent step might discard five times its own work in other runs, whether room came by itself in time, whether its job ended late anyway, and whatever the victims' callers lost. Now gain and loss are compared, with restarts, the victim's own objective and earlier stops; the loss is bounded by a budget that shrinks with the free room; gangs count as a whole with the room they free. Stops are counted by reason and priority, with the work thrown away.

A step that waits for room instead reserves it at once; otherwise smaller steps took it (JobPlacementTest.smallTasksDoNotTakeCapacityReservedForAGang).

--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobPolicyComparison.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobPolicyComparison.java
@@ -60,7 +60,7 @@
             List<SimulatedJob> jobs = new JobGenerator(deployment, seed).generate(DAY_MS);
             JobSimulation simulation = new JobSimulation(deployment, policies, jobs, seed);
             double wastedCoreSeconds = simulation.run();
-            score.add(deployment, jobs, wastedCoreSeconds, simulation.remoteStarts());
+            score.add(deployment, jobs, wastedCoreSeconds, simulation);
         }
         return score;
     }
--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobScore.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobScore.java
@@ -31,6 +31,8 @@
     private double mWastedCoreSeconds;
     private double mTotalCoreSeconds;
     private int mRemoteStarts;
+    private int mStartedRuns;
+    private int mStoppedRuns;
     private int mGuaranteedJobs;
     private int mLateGuarantees;
 
@@ -38,9 +40,11 @@
             Deployment deployment,
             List<SimulatedJob> jobs,
             double wastedCoreSeconds,
-            int remoteStarts) {
+            JobSimulation simulation) {
         mWastedCoreSeconds += wastedCoreSeconds;
-        mRemoteStarts += remoteStarts;
+        mRemoteStarts += simulation.remoteStarts();
+        mStartedRuns += simulation.startedRuns();
+        mStoppedRuns += simulation.stoppedRuns();
         for (JobClass jobClass : deployment.jobClasses()) {
             List<SimulatedJob> classJobs =
                     jobs.stream().filter(j -> j.jobClass.equals(jobClass)).toList();
@@ -86,10 +90,12 @@
         StringBuilder line = new StringBuilder();
         line.append(
                 String.format(
-                        "%-34s earned %.4f wasted %.3f remote %4d late guarantees %d/%d",
+                        "%-34s earned %.4f wasted %.3f stopped %d/%d remote %4d late guarantees %d/%d",
                         name,
                         earnedFraction(),
                         mWastedCoreSeconds / mTotalCoreSeconds,
+                        mStoppedRuns,
+                        mStartedRuns,
                         mRemoteStarts,
                         mLateGuarantees,
                         mGuaranteedJobs));
--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobSimulation.java
@@ -114,6 +114,8 @@
     private int mOpenJobs;
     private double mWastedCoreSeconds;
     private int mRemoteStarts;
+    private int mStartedRuns;
+    private int mStoppedRuns;
 
     JobSimulation(
             Deployment deployment,
@@ -178,6 +180,16 @@
         return mRemoteStarts;
     }
 
+    /** Returns how many runs were started on workers. */
+    int startedRuns() {
+        return mStartedRuns;
+    }
+
+    /** Returns how many runs were stopped, including the members of broken gangs. */
+    int stoppedRuns() {
+        return mStoppedRuns;
+    }
+
     private void submit(SimulatedJob job) {
         job.withinGuarantee = fitsGuarantee(job);
         JobPlan plan = new JobPlan("", List.of(job.step), 0, 0, 0);
@@ -233,6 +245,7 @@
         if (!worker.mRuns.containsKey(order.run())) {
             SimulatedRun run = new SimulatedRun(order.run(), job, worker, mNowMs);
             worker.mRuns.put(order.run(), run);
+            mStartedRuns++;
             if (job.step.gang()) {
                 beginGangIfComplete(run);
             } else {
@@ -319,6 +332,7 @@
     private void endRun(SimulatedRun run, RunOutcome outcome) {
         run.mEnded = true;
         run.mWorker.mRuns.remove(run.mRef);
+        mStoppedRuns += outcome == RunOutcome.STOPPED ? 1 : 0;
         if (outcome != RunOutcome.DONE) {
             double ranMs = mNowMs - (run.mBegunAtMs < 0 ? run.mStartedAtMs : run.mBegunAtMs);
             if (run.mJob.step.checkpointing()
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
@@ -4,7 +4,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,44 +19,90 @@
  * Obtains resources for steps that do not fit, either by preempting runs of lower priority, or of
  * borrowers for guaranteed steps, or by reserving what running tasks will free.
  *
- * <p>Workers are chosen so that the least work is lost or the wait is shortest, within one rack for
- * rack-local steps. Their resources are reserved for the step until the runs there have ended.
+ * <p>Workers are chosen so that callers lose least or the wait is shortest, within one rack for
+ * rack-local steps. A run counts with all runs that end with it, and with the room that they free.
+ * Their resources are reserved for the step until the runs there have ended.
  */
 final class CapacityReclaimer {
-    /**
-     * How long a reservation made by preemption lasts before workers are chosen anew. Stopping a
-     * run takes about 200-400 ms.
-     */
-    private static final long RESERVATION_MS = 1_000;
+    /** How long a reservation made by preemption lasts at least before workers are chosen anew. */
+    private static final long MIN_RESERVATION_MS = 1_000;
+
+    /** How many times the expected time of a stop a reservation made by preemption lasts. */
+    private static final int RESERVATION_STOPS = 2;
 
     /** The minimum remaining time that is assumed for a run, even an overdue one. */
     private static final long MIN_REMAINING_MS = 500;
 
-    /**
-     * The most that stopping a checkpointing run loses: work since its checkpoint and a restart.
-     */
-    private static final long MAX_CHECKPOINTED_LOSS_MS = 1_000;
-
-    /** The number of cores that one accelerator is counted as in costs. */
-    private static final double CORES_PER_ACCELERATOR = 8;
+    /** How much more the stop of a run counts that has not run on since the last one. */
+    private static final double REPEATED_STOP_FACTOR = 1_000;
 
     /** Decides which runs may free their resources for a step, and at which cost. */
     private interface ReleaseStrategy {
-        boolean canRelease(StepInstance step, Run run);
+        boolean canRelease(StepInstance step, Run run, long nowMs);
 
-        double releaseCost(Run run, long nowMs);
+        /** Returns the runs that end with a run. */
+        List<Run> endingWith(Run run);
+
+        /** Returns the cost of the end of a run and those that end with it. */
+        double releaseCost(Run run, long nowMs, long wallMs);
     }
 
     private final ClusterState mState;
+    private final StopLoss mLoss;
+    private final StopLatency mStopLatency = new StopLatency();
+    private final StopBudget mBudget = new StopBudget();
     private final ReleaseStrategy mPreemption = new Preemption();
     private final ReleaseStrategy mCompletion = new Completion();
+    private final ReleaseStrategy mWait = new Wait();
+
+    /** The runs whose ends steps of a higher rank wait for in this round. */
+    private final Set<Run> mAwaitedRuns = new HashSet<>();
 
-    CapacityReclaimer(ClusterState state) {
+    CapacityReclaimer(ClusterState state, EndUtility utility) {
         mState = state;
+        mLoss = new StopLoss(state, utility);
+    }
+
+    /** Begins a round: observes stops that are done and refills the budget. */
+    void beginRound(long nowMs) {
+        dropExpiredReservations(nowMs);
+        mAwaitedRuns.clear();
+        mStopLatency.observe(nowMs);
+        Resources capacity = Resources.NONE;
+        Resources free = Resources.NONE;
+        for (Worker worker : mState.workers.values()) {
+            if (worker.registered && worker.isInService()) {
+                capacity = capacity.plus(worker.entry.capacity());
+                free = free.plus(worker.freeResources());
+            }
+        }
+        mBudget.refill(LostWork.coreEquivalents(capacity), freeShare(free, capacity), nowMs);
+    }
+
+    /** Returns the expected time from a stop to the start that it allows. */
+    long stopMs() {
+        return mStopLatency.expectedMs();
+    }
+
+    /**
+     * Returns the expected time until running tasks leave room for a step's pending tasks, or
+     * {@link StopGain#NEVER_MS}. Steps of a lower rank do not count on the same runs.
+     */
+    long awaitRoom(StepInstance step, List<Task> pending, boolean allowRemote, long nowMs) {
+        ReclaimPlan plan = cheapestPlan(step, pending, allowRemote, mWait, nowMs, nowMs);
+        if (plan == null) {
+            return StopGain.NEVER_MS;
+        }
+        long waitMs = 0;
+        for (Run run : plan.victims) {
+            waitMs = Math.max(waitMs, mState.remainingMs(run, nowMs));
+        }
+        mAwaitedRuns.addAll(plan.victims);
+        return waitMs;
     }
 
     /** Drops reservations without preemption, and those that expired or are no longer needed. */
-    void dropExpiredReservations(long nowMs) {
+    private void dropExpiredReservations(long nowMs) {
         for (Worker worker : mState.workers.values()) {
             worker.reservations.removeIf(
                     r -> !r.byPreemption || nowMs > r.expiresAtMs || !r.step.awaitsStart());
@@ -78,23 +126,24 @@
      * for them.
      *
      * @param allowRemote whether the tasks may run on other racks than their data or across racks
-     * @param maxLossCoreMs the most work that may be lost, in core-milliseconds
+     * @param maxLoss the most that may be lost, in weighted core-milliseconds
      */
     void preempt(
             StepInstance step,
             List<Task> pending,
             boolean allowRemote,
-            double maxLossCoreMs,
-            long nowMs) {
-        ReclaimPlan best = cheapestPlan(step, pending, allowRemote, mPreemption, nowMs);
-        if (best != null && best.cost <= maxLossCoreMs) {
+            double maxLoss,
+            long nowMs,
+            long wallMs) {
+        ReclaimPlan best = cheapestPlan(step, pending, allowRemote, mPreemption, nowMs, wallMs);
+        if (best != null && best.cost <= maxLoss && (best.victims.isEmpty() || mBudget.isLeft())) {
             execute(best, step, nowMs);
         }
     }
 
     /**
-     * As {@link #preempt} for a step of a guaranteed job, whatever work is lost, and also from
-     * other teams' urgent jobs beyond their guarantees.
+     * As {@link #preempt} for a step of a guaranteed job, whatever is lost and left of the budget,
+     * and also from other teams' urgent jobs beyond their guarantees.
      *
      * @param guaranteedJobs the urgent jobs within their teams' guarantees
      */
@@ -103,9 +152,10 @@
             List<Task> pending,
             boolean allowRemote,
             Set<Job> guaranteedJobs,
-            long nowMs) {
+            long nowMs,
+            long wallMs) {
         ReleaseStrategy strategy = new GuaranteeReclaim(guaranteedJobs);
-        ReclaimPlan best = cheapestPlan(step, pending, allowRemote, strategy, nowMs);
+        ReclaimPlan best = cheapestPlan(step, pending, allowRemote, strategy, nowMs, wallMs);
         if (best != null) {
             execute(best, step, nowMs);
         }
@@ -113,14 +163,16 @@
 
     private void execute(ReclaimPlan plan, StepInstance step, long nowMs) {
         mState.dropReservations(step);
+        long reservationMs = Math.max(MIN_RESERVATION_MS, RESERVATION_STOPS * stopMs());
         plan.taskCounts.forEach(
                 (w, n) ->
-                        w.reservations.add(new Reservation(step, n, true, nowMs + RESERVATION_MS)));
+                        w.reservations.add(new Reservation(step, n, true, nowMs + reservationMs)));
+        Set<StepInstance> brokenGangs = new HashSet<>();
         for (Run victim : plan.victims) {
-            mState.stopRun(victim, StopReason.RECLAIMED, nowMs);
-            if (victim.task.step.plan.gang()) {
-                mState.stopGang(victim.task.step, victim.ref.attempt(), nowMs);
-            }
+            mBudget.charge(LostWork.coreMs(victim, mState.durationEstimator, nowMs));
+            boolean broken = victim.task.step.plan.gang() && !brokenGangs.add(victim.task.step);
+            mState.stopRun(victim, broken ? StopReason.GANG_BROKEN : StopReason.RECLAIMED, nowMs);
+            mStopLatency.add(victim);
         }
     }
 
@@ -131,7 +183,7 @@
      * <p>A round handles steps by rank, so a reservation only affects steps of a lower rank.
      */
     void reserve(StepInstance step, List<Task> pending, boolean allowRemote, long nowMs) {
-        ReclaimPlan best = cheapestPlan(step, pending, allowRemote, mCompletion, nowMs);
+        ReclaimPlan best = cheapestPlan(step, pending, allowRemote, mCompletion, nowMs, nowMs);
         if (best != null) {
             best.taskCounts.forEach(
                     (w, n) -> w.reservations.add(new Reservation(step, n, false, nowMs)));
@@ -143,7 +195,8 @@
             List<Task> pending,
             boolean allowRemote,
             ReleaseStrategy strategy,
-            long nowMs) {
+            long nowMs,
+            long wallMs) {
         List<Worker> eligible = new ArrayList<>();
         for (Worker worker : mState.workers.values()) {
             if (worker.isSchedulable(nowMs)
@@ -154,10 +207,10 @@
         }
         ReclaimPlan best = null;
         for (List<Worker> group : workerGroups(step, eligible)) {
-            best = cheaper(best, planFor(step, pending.size(), group, strategy, nowMs));
+            best = cheaper(best, planFor(step, pending.size(), group, strategy, nowMs, wallMs));
         }
         return best == null && allowRemote
-                ? planFor(step, pending.size(), eligible, strategy, nowMs)
+                ? planFor(step, pending.size(), eligible, strategy, nowMs, wallMs)
                 : best;
     }
 
@@ -189,19 +242,19 @@
             int taskCount,
             List<Worker> group,
             ReleaseStrategy strategy,
-            long nowMs) {
+            long nowMs,
+            long wallMs) {
         Map<Worker, Integer> taskCounts = new LinkedHashMap<>();
-        Map<Run, Boolean> victims = new LinkedHashMap<>();
+        Map<Run, Double> victims = new LinkedHashMap<>();
         Map<Worker, Resources> available = new HashMap<>();
         Map<Worker, List<ReleasableRun>> releasable = new HashMap<>();
         group.forEach(w -> available.put(w, w.resourcesFreeFor(step).plus(stoppingResources(w))));
-        double cost = 0;
         for (int i = 0; i < taskCount; i++) {
             Candidate best = null;
             for (Worker worker : group) {
                 int placed = taskCounts.getOrDefault(worker, 0);
                 if (!releasable.containsKey(worker) && !fits(step, available.get(worker))) {
-                    releasable.put(worker, releasableByCost(step, worker, strategy, nowMs));
+                    releasable.put(worker, releasableByCost(step, worker, strategy, nowMs, wallMs));
                 }
                 List<ReleasableRun> runs = releasable.getOrDefault(worker, List.of());
                 Candidate candidate =
@@ -213,16 +266,46 @@
             if (best == null) {
                 return null;
             }
-            Resources remaining = available.get(best.worker).minus(step.plan.reservedResources());
-            for (Run victim : best.victims) {
-                victims.put(victim, true);
-                remaining = remaining.plus(victim.resources);
+            for (ReleasableRun chosen : best.victims) {
+                for (Run victim : strategy.endingWith(chosen.run)) {
+                    victims.put(victim, victim == chosen.run ? chosen.cost : 0);
+                    available.computeIfPresent(
+                            victim.worker, (w, free) -> free.plus(victim.resources));
+                }
             }
-            available.put(best.worker, remaining);
+            available.compute(best.worker, (w, free) -> free.minus(step.plan.reservedResources()));
             taskCounts.merge(best.worker, 1, Integer::sum);
-            cost += best.cost;
         }
-        return new ReclaimPlan(taskCounts, Set.copyOf(victims.keySet()), cost);
+        dropNeedlessVictims(strategy, victims, available);
+        double cost = 0;
+        for (double victimCost : victims.values()) {
+            cost += victimCost;
+        }
+        return new ReclaimPlan(taskCounts, new LinkedHashSet<>(victims.keySet()), cost);
+    }
+
+    /** Spares runs, the dearest first, without which the planned tasks fit too. */
+    private static void dropNeedlessVictims(
+            ReleaseStrategy strategy, Map<Run, Double> victims, Map<Worker, Resources> available) {
+        List<Run> dearestFirst = new ArrayList<>(victims.keySet());
+        dearestFirst.sort(Comparator.comparingDouble((Run run) -> -victims.get(run)));
+        for (Run victim : dearestFirst) {
+            if (!victims.containsKey(victim) || victims.get(victim) == 0) {
+                continue;
+            }
+            Map<Worker, Resources> left = new HashMap<>();
+            List<Run> spared = strategy.endingWith(victim);
+            for (Run run : spared) {
+                Resources free = left.getOrDefault(run.worker, available.get(run.worker));
+                if (free != null) {
+                    left.put(run.worker, free.minus(run.resources));
+                }
+            }
+            if (left.values().stream().allMatch(Resources.NONE::fitsIn)) {
+                available.putAll(left);
+                spared.forEach(victims::remove);
+            }
+        }
     }
 
     private static boolean fits(StepInstance step, Resources available) {
@@ -230,7 +313,7 @@
     }
 
     /** A worker for one more task, and the runs that have to end first. */
-    private record Candidate(Worker worker, List<Run> victims, double cost) {}
+    private record Candidate(Worker worker, List<ReleasableRun> victims, double cost) {}
 
     private static Candidate candidateOn(
             StepInstance step,
@@ -238,14 +321,14 @@
             Resources available,
             int placed,
             List<ReleasableRun> runs,
-            Map<Run, Boolean> victims) {
+            Map<Run, Double> victims) {
         int limit = step.plan.maxPerWorker();
         if (limit > 0 && worker.runCountOf(step) + placed >= limit) {
             return null;
         }
         Resources need = step.plan.reservedResources();
         Resources remaining = available;
-        List<Run> chosen = new ArrayList<>();
+        List<ReleasableRun> chosen = new ArrayList<>();
         double cost = 0;
         if (!need.fitsIn(remaining)) {
             for (ReleasableRun releasable : runs) {
@@ -253,8 +336,8 @@
                         || !keepsEnoughAtWork(releasable.run, victims.keySet(), chosen)) {
                     continue;
                 }
-                remaining = remaining.plus(releasable.run.resources);
-                chosen.add(releasable.run);
+                remaining = remaining.plus(releasable.resources);
+                chosen.add(releasable);
                 cost += releasable.cost;
                 if (need.fitsIn(remaining)) {
                     break;
@@ -264,16 +347,30 @@
         return need.fitsIn(remaining) ? new Candidate(worker, chosen, cost) : null;
     }
 
-    /** A run that can free its resources, and the cost of that. */
-    private record ReleasableRun(Run run, double cost) {}
+    /**
+     * A run that can free its resources, and the cost of that.
+     *
+     * @param resources the resources of all runs on its worker that end with it
+     */
+    private record ReleasableRun(Run run, Resources resources, double cost) {}
 
     private static List<ReleasableRun> releasableByCost(
-            StepInstance step, Worker worker, ReleaseStrategy strategy, long nowMs) {
+            StepInstance step, Worker worker, ReleaseStrategy strategy, long nowMs, long wallMs) {
         List<ReleasableRun> runs = new ArrayList<>();
+        Set<Run> covered = new HashSet<>();
         for (Run run : worker.runs.values()) {
-            if (run.phase != Phase.STOPPING && strategy.canRelease(step, run)) {
-                runs.add(new ReleasableRun(run, strategy.releaseCost(run, nowMs)));
+            if (run.phase == Phase.STOPPING
+                    || covered.contains(run)
+                    || !strategy.canRelease(step, run, nowMs)) {
+                continue;
             }
+            Resources resources = Resources.NONE;
+            for (Run ending : strategy.endingWith(run)) {
+                if (ending.worker == worker && covered.add(ending)) {
+                    resources = resources.plus(ending.resources);
+                }
+            }
+            runs.add(new ReleasableRun(run, resources, strategy.releaseCost(run, nowMs, wallMs)));
         }
         runs.sort(Comparator.comparingDouble(ReleasableRun::cost));
         return runs;
@@ -284,14 +381,16 @@
      * than the step allows.
      */
     private static boolean keepsEnoughAtWork(
-            Run run, Collection<Run> victims, Collection<Run> chosen) {
+            Run run, Collection<Run> victims, Collection<ReleasableRun> chosen) {
         StepInstance step = run.task.step;
         if (step.plan.mayMiss() == 0) {
             return true;
         }
         int away = 0;
         for (Task task : step.tasks) {
-            if (!isAtWork(task) || victims.contains(task.run) || chosen.contains(task.run)) {
+            if (!isAtWork(task)
+                    || victims.contains(task.run)
+                    || chosen.stream().anyMatch(other -> other.run == task.run)) {
                 away++;
             }
         }
@@ -320,29 +419,49 @@
         return total;
     }
 
-    /** Returns the work of a step's tasks, in core-milliseconds. */
-    static double workCoreMs(StepInstance step, long taskMs) {
-        return step.plan.count() * coreEquivalents(step.plan.reservedResources()) * taskMs;
+    /** Returns the free share of the scarcest resource. */
+    private static double freeShare(Resources free, Resources capacity) {
+        double share =
+                Math.min(
+                        free.cpuMillis() / Math.max(1.0, capacity.cpuMillis()),
+                        free.memoryMb() / Math.max(1.0, capacity.memoryMb()));
+        if (capacity.accelerators() > 0) {
+            share = Math.min(share, (double) free.accelerators() / capacity.accelerators());
+        }
+        return Math.max(0, share);
     }
 
-    /** Stops runs of lower priority; the cost is the lost work in core-milliseconds. */
-    private static final class Preemption implements ReleaseStrategy {
+    /** Stops runs; the cost is what callers lose. */
+    private abstract class Stop implements ReleaseStrategy {
         @Override
-        public boolean canRelease(StepInstance step, Run run) {
-            StepInstance other = run.task.step;
-            return other.job.queue.priority() > step.job.queue.priority()
-                    && other.plan.mayMiss() == 0
-                    && !run.task.done;
+        public List<Run> endingWith(Run run) {
+            return LostWork.endingWith(run);
+        }
+
+        @Override
+        public double releaseCost(Run run, long nowMs, long wallMs) {
+            double loss = 1 + mLoss.of(run, stopMs(), nowMs, wallMs);
+            return LostWork.hasRunOn(run, mState.durationEstimator, nowMs)
+                    ? loss
+                    : loss * REPEATED_STOP_FACTOR;
         }
+    }
 
+    /** Stops runs of lower priority that have run on since they were stopped last. */
+    private final class Preemption extends Stop {
         @Override
-        public double releaseCost(Run run, long nowMs) {
-            return lostCoreMs(run, nowMs);
+        public boolean canRelease(StepInstance step, Run run, long nowMs) {
+            StepInstance other = run.task.step;
+            return other.job.queue.priority() > step.job.queue.priority()
+                    && other.plan.mayMiss() == 0
+                    && !run.task.done
+                    && run.phase != Phase.UNCONFIRMED
+                    && LostWork.hasRunOn(run, mState.durationEstimator, nowMs);
         }
     }
 
-    /** Stops runs that borrow guaranteed resources; the cost is the lost work. */
-    private static final class GuaranteeReclaim implements ReleaseStrategy {
+    /** Stops runs that borrow guaranteed resources. */
+    private final class GuaranteeReclaim extends Stop {
         private final Set<Job> mGuaranteedJobs;
 
         GuaranteeReclaim(Set<Job> guaranteedJobs) {
@@ -350,43 +469,46 @@
         }
 
         @Override
-        public boolean canRelease(StepInstance step, Run run) {
+        public boolean canRelease(StepInstance step, Run run, long nowMs) {
             return TeamGuarantees.mayReclaimFrom(run.task.step.job, step.job, mGuaranteedJobs)
                     && !run.task.done;
         }
-
-        @Override
-        public double releaseCost(Run run, long nowMs) {
-            return lostCoreMs(run, nowMs);
-        }
     }
 
     /** Waits for runs to end; the cost is their remaining work in core-milliseconds. */
-    private final class Completion implements ReleaseStrategy {
+    private class Completion implements ReleaseStrategy {
         @Override
-        public boolean canRelease(StepInstance step, Run run) {
+        public boolean canRelease(StepInstance step, Run run, long nowMs) {
             return !run.task.step.plan.longRunning();
         }
 
         @Override
-        public double releaseCost(Run run, long nowMs) {
-            return coreEquivalents(run.resources)
+        public List<Run> endingWith(Run run) {
+            return List.of(run);
+        }
+
+        @Override
+        public double releaseCost(Run run, long nowMs, long wallMs) {
+            return LostWork.coreEquivalents(run.resources)
                     * Math.max(MIN_REMAINING_MS, mState.remainingMs(run, nowMs));
         }
     }
 
-    /** Returns the work that is lost if a run is stopped, in core-milliseconds. */
-    private static double lostCoreMs(Run run, long nowMs) {
-        StepInstance step = run.task.step;
-        long lostMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
-        if (step.plan.checkpointing()) {
-            lostMs = Math.min(lostMs, MAX_CHECKPOINTED_LOSS_MS);
+    /** Waits for runs that no step of a higher rank waits for; the cost is their remaining time. */
+    private final class Wait extends Completion {
+        @Override
+        public boolean canRelease(StepInstance step, Run run, long nowMs) {
+            return super.canRelease(step, run, nowMs) && !mAwaitedRuns.contains(run);
+        }
+
+        @Override
+        public List<Run> endingWith(Run run) {
+            return LostWork.endingWith(run);
         }
-        double loss = coreEquivalents(run.resources) * (lostMs + 1);
-        return step.plan.gang() ? loss * step.plan.count() : loss;
-    }
 
-    private static double coreEquivalents(Resources resources) {
-        return resources.cpuMillis() / 1_000.0 + resources.accelerators() * CORES_PER_ACCELERATOR;
+        @Override
+        public double releaseCost(Run run, long nowMs, long wallMs) {
+            return Math.max(MIN_REMAINING_MS, mState.remainingMs(run, nowMs));
+        }
     }
 }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
@@ -28,6 +28,7 @@
 
     public ClusterConfig config = new ClusterConfig(0, List.of(), List.of());
     private List<JobAction> mActions = new ArrayList<>();
+    private List<StoppedRun> mStoppedRuns = new ArrayList<>();
 
     ClusterState(DurationEstimator durations) {
         this.durationEstimator = durations;
@@ -64,6 +65,13 @@
         return actions;
     }
 
+    /** Returns the runs that were stopped since the last call. */
+    List<StoppedRun> takeStoppedRuns() {
+        List<StoppedRun> stoppedRuns = mStoppedRuns;
+        mStoppedRuns = new ArrayList<>();
+        return stoppedRuns;
+    }
+
     /**
      * Returns the expected time until a run ends; 0 for an overdue one. A gang ends with its
      * slowest member.
@@ -137,6 +145,11 @@
             run.phase = Phase.STOPPING;
             run.confirmedAtMs = Long.MAX_VALUE;
             run.stopReason = reason;
+            run.firstStopSentAtMs = nowMs;
+            run.lostCoreMs = LostWork.coreMs(run, durationEstimator, nowMs);
+            run.task.lostMs = LostWork.unsavedMs(run, durationEstimator, nowMs);
+            mStoppedRuns.add(
+                    new StoppedRun(reason, run.task.step.job.queue.priority(), run.lostCoreMs));
             sendStop(run, nowMs);
         }
     }
@@ -144,7 +157,12 @@
     void sendStop(Run run, long nowMs) {
         run.lastStopSentAtMs = nowMs;
         mActions.add(
-                new JobAction.Stop(run.worker.id, run.workerIncarnation, run.ref, run.stopReason));
+                new JobAction.Stop(
+                        run.worker.id,
+                        run.workerIncarnation,
+                        run.ref,
+                        run.stopReason,
+                        run.lostCoreMs));
     }
 
     void sendThrottle(Run run, int percent) {
@@ -154,7 +172,7 @@
 
     void stopUnrecordedRun(Worker worker, RunRef run) {
         mActions.add(
-                new JobAction.Stop(worker.id, worker.incarnation, run, StopReason.NOT_RECORDED));
+                new JobAction.Stop(worker.id, worker.incarnation, run, StopReason.NOT_RECORDED, 0));
     }
 
     /** Removes a run that is known to have ended; its task is pending again unless it is done. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -36,16 +36,11 @@
     /** The longest time from preemption to start: two attempts at stop, save and start. */
     private static final long MAX_PREEMPTION_MS = 1_300;
 
-    /**
-     * The most work that an urgent step may discard to end in time, as a multiple of its own work.
-     * Urgent tasks are short, so each preempted run lets several of them end in time.
-     */
-    private static final double MAX_LOSS_FACTOR = 5;
-
     private final ClusterState mState;
     private final SchedulerSettings mSettings;
     private final CapacityReclaimer mReclaimer;
     private final SchedulingOrder mOrder;
+    private final StopGain mGain;
     private final AdviceRequester mAdviceRequester;
 
     /** The number of steps with new reservations in this round. */
@@ -59,7 +54,9 @@
         mState = state;
         mSettings = settings;
         mAdviceRequester = adviceRequester;
-        mReclaimer = new CapacityReclaimer(state);
+        EndUtility utility = new EndUtility(state, order);
+        mReclaimer = new CapacityReclaimer(state, utility);
+        mGain = new StopGain(state, utility);
         mOrder = order;
     }
 
@@ -70,7 +67,7 @@
      * @param wallMs the time of day, in milliseconds since 1970
      */
     void run(long nowMs, long wallMs) {
-        mReclaimer.dropExpiredReservations(nowMs);
+        mReclaimer.beginRound(nowMs);
         List<StepInstance> ready = readySteps(nowMs, wallMs);
         Set<Job> guaranteed = TeamGuarantees.guaranteedJobs(mState);
         Map<StepInstance, SchedulingOrder.Rank> ranks = new HashMap<>();
@@ -130,14 +127,18 @@
             mAdviceRequester.request(step, tasks.size() - assignments.size(), nowMs);
         }
         if (assignments.size() < tasks.size() && !mReclaimer.hasPreemptedFor(step)) {
-            double maxLossCoreMs = maxLossCoreMs(step, guaranteed, nowMs, wallMs);
-            if (maxLossCoreMs >= 0) {
-                mReclaimer.preempt(step, step.startableTasks(), allowRemote, maxLossCoreMs, nowMs);
-            }
-            if (isReclaimDue(step, guaranteed, nowMs) && !mReclaimer.hasPreemptedFor(step)) {
-                mReclaimer.reclaim(step, step.startableTasks(), allowRemote, guaranteedJobs, nowMs);
+            List<Task> pending = step.startableTasks();
+            boolean waitsForRoom = false;
+            if (isReclaimDue(step, guaranteed, nowMs)) {
+                mReclaimer.reclaim(step, pending, allowRemote, guaranteedJobs, nowMs, wallMs);
+            } else if (mayStopOthers(step, guaranteed, nowMs, wallMs)) {
+                double gain = gain(step, pending, allowRemote, guaranteed, nowMs, wallMs);
+                waitsForRoom = gain == 0;
+                if (!waitsForRoom) {
+                    mReclaimer.preempt(step, pending, allowRemote, gain, nowMs, wallMs);
+                }
             }
-            if (shouldReserve(step, nowMs)) {
+            if (shouldReserve(step, waitsForRoom, nowMs)) {
                 mReservedSteps++;
                 mReclaimer.reserve(step, step.startableTasks(), allowRemote, nowMs);
             }
@@ -169,23 +170,29 @@
         return used.times(2).fitsIn(capacity);
     }
 
-    /**
-     * Returns the most work that may be lost to preemption for a step, in core-milliseconds, or -1
-     * if the step must not preempt.
-     */
-    private double maxLossCoreMs(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
-        if (isReclaimDue(step, guaranteed, nowMs)) {
-            return Double.MAX_VALUE;
-        }
+    /** Returns whether a step is urgent enough to have runs of lower priority stopped. */
+    private boolean mayStopOthers(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
         if (step.job.queue.priority() > 0) {
-            return -1;
+            return false;
         }
         long latestMs = mOrder.latestStartMs(step, nowMs, wallMs);
         boolean isStartDue = latestMs >= nowMs && latestMs - nowMs < PREEMPTION_LEAD_MS;
-        long expectedMs = step.expectedMs(mState.durationEstimator);
-        return guaranteed || isStartDue
-                ? MAX_LOSS_FACTOR * CapacityReclaimer.workCoreMs(step, expectedMs)
-                : -1;
+        return guaranteed || isStartDue;
+    }
+
+    /** Returns what a step's caller gains if runs are stopped for the step. */
+    private double gain(
+            StepInstance step,
+            List<Task> pending,
+            boolean allowRemote,
+            boolean guaranteed,
+            long nowMs,
+            long wallMs) {
+        long waitMs = mReclaimer.awaitRoom(step, pending, allowRemote, nowMs);
+        long dueInMs = step.readySinceMs + mSettings.reclaimMs() - MAX_PREEMPTION_MS - nowMs;
+        // Without room until then, runs are stopped in any case, which loses more later.
+        long gainWaitMs = guaranteed && waitMs > dueInMs ? StopGain.NEVER_MS : waitMs;
+        return mGain.of(step, gainWaitMs, mReclaimer.stopMs(), nowMs, wallMs);
     }
 
     /** Returns whether a step has to obtain its resources now to start within its guarantee. */
@@ -193,8 +200,12 @@
         return guaranteed && nowMs - step.readySinceMs >= mSettings.reclaimMs() - MAX_PREEMPTION_MS;
     }
 
-    /** Returns whether a gang should reserve resources, so that smaller steps do not take them. */
-    private boolean shouldReserve(StepInstance step, long nowMs) {
+    /**
+     * Returns whether a gang should reserve resources, so that smaller steps do not take them.
+     *
+     * @param waitsForRoom whether runs are not stopped for the step, as room comes by itself
+     */
+    private boolean shouldReserve(StepInstance step, boolean waitsForRoom, long nowMs) {
         if (!step.plan.gang()
                 || mReservedSteps >= MAX_RESERVED_STEPS
                 || mReclaimer.hasPreemptedFor(step)) {
@@ -204,7 +215,7 @@
                 step.job.queue.priority() == 0
                         ? URGENT_RESERVE_DELAY_MS
                         : Math.round(RESERVE_DELAY_FRACTION * mOrder.objectiveMs(step.job));
-        return nowMs - step.readySinceMs > delayMs;
+        return waitsForRoom || nowMs - step.readySinceMs > delayMs;
     }
 
     /** Deducts one assigned task from a step's reservation on a worker. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobAction.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobAction.java
@@ -27,8 +27,17 @@
             String ticket)
             implements JobAction {}
 
-    /** Stops a run; if it has not started yet, the worker will refuse its start. */
-    record Stop(WorkerId worker, long workerIncarnation, RunRef run, StopReason reason)
+    /**
+     * Stops a run; if it has not started yet, the worker will refuse its start.
+     *
+     * @param lostCoreMs the work that is thrown away, in core-milliseconds
+     */
+    record Stop(
+            WorkerId worker,
+            long workerIncarnation,
+            RunRef run,
+            StopReason reason,
+            double lostCoreMs)
             implements JobAction {}
 
     /** Sets the speed of a run, in percent of full speed. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -253,6 +253,11 @@
         return mState.takeActions();
     }
 
+    /** Returns the runs that were stopped since the last call, without repeated orders. */
+    public List<StoppedRun> takeStoppedRuns() {
+        return mState.takeStoppedRuns();
+    }
+
     /** Returns the requests to placement policies that were issued since the last call. */
     public List<AdviceRequest> takeAdviceRequests() {
         return mAdviceRequester.takeRequests();
@@ -406,6 +411,10 @@
             task.failures = saved.failures();
         }
         step.recordCheckpoint(task, saved.checkpoint());
+        int endedRuns = saved.worker() == null ? saved.attempt() : saved.attempt() - 1;
+        if (endedRuns > saved.failures()) {
+            task.lostMs = LostWork.UNKNOWN_MS;
+        }
         if (saved.worker() == null) {
             return;
         }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -87,6 +87,12 @@
 
     public StopReason stopReason;
 
+    /** The work that the stop throws away, in core-milliseconds. */
+    public double lostCoreMs;
+
+    /** When the stop order was first sent. */
+    public long firstStopSentAtMs;
+
     /** When the stop order was last sent. */
     public long lastStopSentAtMs;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Task.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Task.java
@@ -21,6 +21,12 @@
     /** How many runs were stopped to move the task off a slow worker. */
     public int moves;
 
+    /**
+     * For how long the last stopped run had worked without saving the result; {@link
+     * LostWork#UNKNOWN_MS} if an earlier owner stopped it.
+     */
+    public long lostMs;
+
     /** Whether a run has succeeded. */
     public boolean done;
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -49,6 +49,22 @@
         mRegistry.counter("lycheeroad_store_calls", "call", call, "outcome", outcome).increment();
     }
 
+    /**
+     * Counts a stopped run and the work thrown away with it.
+     *
+     * @param reason the name of the reason for the stop
+     * @param priority the priority of the run's queue
+     */
+    public void countStoppedRun(String reason, int priority, double lostCoreSeconds) {
+        String level = Integer.toString(priority);
+        mRegistry
+                .counter("lycheeroad_stopped_runs", "reason", reason, "priority", level)
+                .increment();
+        mRegistry
+                .counter("lycheeroad_lost_core_seconds", "reason", reason, "priority", level)
+                .increment(lostCoreSeconds);
+    }
+
     /** Registers a gauge whose value is read at each scrape. */
     public void registerGauge(String name, Supplier<Number> value) {
         Gauge.builder(name, value).strongReference(true).register(mRegistry);
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -13,6 +13,7 @@
 import org.lycheeroad.coordination.jobs.JobScheduler;
 import org.lycheeroad.coordination.jobs.JobScheduler.UnsavedProgress;
 import org.lycheeroad.coordination.jobs.SchedulerSettings;
+import org.lycheeroad.coordination.jobs.StoppedRun;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
 import org.lycheeroad.scheduler.NodeSettings;
@@ -66,6 +67,8 @@
      */
     private static final long ADVICE_TIMEOUT_MS = 10_000;
 
+    private static final double MS_PER_SECOND = 1_000;
+
     private final MetadataStore mStore;
     private final WorkerGateway mGateway;
     private final PlacementPolicy mPolicy;
@@ -194,6 +197,7 @@
         removeDepartedWorkers();
         mScheduler.runDecisionRound(mClock.monotonicMs(), mClock.wallMs());
         sendOrders();
+        countStoppedRuns();
         mScheduler.takeAdviceRequests().forEach(this::requestAdvice);
         if (mScheduler.hasUrgentUnsavedProgress()) {
             save();
@@ -271,6 +275,13 @@
         }
     }
 
+    private void countStoppedRuns() {
+        for (StoppedRun run : mScheduler.takeStoppedRuns()) {
+            mMetrics.countStoppedRun(
+                    run.reason().name(), run.priority(), run.lostCoreMs() / MS_PER_SECOND);
+        }
+    }
+
     private void requestAdvice(AdviceRequest question) {
         mExecutor.whenComplete(
                 mPolicy.requestAdvice(question, ADVICE_TIMEOUT_MS),
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -224,7 +224,9 @@
                         + " worker="
                         + mEntry.id()
                         + " reason="
-                        + stop.reason());
+                        + stop.reason()
+                        + " lostCoreMs="
+                        + Math.round(stop.lostCoreMs()));
         mExecutor.whenComplete(
                 mGateway.stop(endpoint(), stop.run()),
                 (reply, e) -> {
