--- a/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobScore.java
+++ b/benchmarks/src/main/java/org/lycheeroad/benchmarks/jobs/JobScore.java
@@ -90,7 +90,8 @@
         StringBuilder line = new StringBuilder();
         line.append(
                 String.format(
-                        "%-34s earned %.4f wasted %.3f stopped %d/%d remote %4d late guarantees %d/%d",
+                        "%-34s earned %.4f wasted %.3f stopped %d/%d remote %4d"
+                                + " late guarantees %d/%d",
                         name,
                         earnedFraction(),
                         mWastedCoreSeconds / mTotalCoreSeconds,
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/CapacityReclaimer.java
@@ -33,6 +33,9 @@
     /** The minimum remaining time that is assumed for a run, even an overdue one. */
     private static final long MIN_REMAINING_MS = 500;
 
+    /** How many times the predicted wait for room has to be bearable, as estimates are rough. */
+    private static final double WAIT_MARGIN_FACTOR = 1.5;
+
     /** How much more the stop of a run counts that has not run on since the last one. */
     private static final double REPEATED_STOP_FACTOR = 1_000;
 
@@ -98,7 +101,7 @@
             waitMs = Math.max(waitMs, mState.remainingMs(run, nowMs));
         }
         mAwaitedRuns.addAll(plan.victims);
-        return waitMs;
+        return Math.round(WAIT_MARGIN_FACTOR * waitMs);
     }
 
     /** Drops reservations without preemption, and those that expired or are no longer needed. */
