StopBudget: let stops throw away a larger share of the capacity

With a share of 0.04 to 0.2 of the capacity, clusters with short gangs lost: their urgent work waited for the budget while the room was only late. The share is now 0.1 to 0.3.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopBudget.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopBudget.java
@@ -3,10 +3,10 @@
 /** Bounds the work that stops may throw away, by a share of the capacity that shrinks with room. */
 final class StopBudget {
     /** The share of the capacity that may be thrown away while all of it is free. */
-    private static final double MAX_SHARE = 0.2;
+    private static final double MAX_SHARE = 0.3;
 
     /** The share of the capacity that may be thrown away while none of it is free. */
-    private static final double MIN_SHARE = 0.04;
+    private static final double MIN_SHARE = 0.1;
 
     /** How long the budget accrues without being used. */
     private static final long MAX_ACCRUAL_MS = 10_000;
