intake: ask again for a count only until the owner's key has been read

Cause: asked for a count again for 480 ms whenever no owner was known. A VM that has got SIGTERM knows none after its resignation, so a count that came within the last 480 ms before it closed its connections got no answer.

Change: only a daemon that has not yet read who is owner asks again, which was the case to mend.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -347,6 +347,7 @@
 
     /** Reads the count from the owner, which a daemon that has just started does not know yet. */
     private CompletableFuture<ApiResponse> readPendingCount(QueueAccess access, int retries) {
+        boolean mayLearnOwner = !mOwnerService.hasReadOwner();
         return mOwnerService
                 .pendingCount(access.queue.name())
                 .thenCompose(
@@ -356,7 +357,7 @@
                                         : mPeers.fetchPendingCount(access.queue.name()))
                 .thenCompose(
                         count -> {
-                            if (count.isEmpty() && retries > 0) {
+                            if (count.isEmpty() && retries > 0 && mayLearnOwner) {
                                 CompletableFuture<ApiResponse> retried = new CompletableFuture<>();
                                 mExecutor.schedule(
                                         RETRY_INTERVAL_MS,
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -80,7 +80,7 @@
     private volatile Optional<OwnerRecord> mOwner = Optional.empty();
     private volatile Optional<OwnerRecord> mReportedOwner = Optional.empty();
     private Term mTerm;
-    private boolean mOwnerKeyRead;
+    private volatile boolean mOwnerKeyRead;
     private boolean mCampaigning;
     private boolean mStopped;
     private long mRttMs = INITIAL_RTT_MS;
@@ -123,6 +123,11 @@
                 });
     }
 
+    /** Returns whether this daemon has read from the store who is owner, if anyone is. */
+    boolean isOwnerKeyRead() {
+        return mOwnerKeyRead;
+    }
+
     /** Returns the owner as last read from the store, or a newer one that a daemon reported. */
     public Optional<OwnerRecord> owner() {
         Optional<OwnerRecord> stored = mOwner;
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerService.java
@@ -140,6 +140,11 @@
         return owner().filter(owner -> !mElection.isThisProcess(owner)).map(OwnerRecord::peer);
     }
 
+    /** Returns whether this VM has read who is owner; a daemon that has just started has not. */
+    public boolean hasReadOwner() {
+        return mElection.isOwnerKeyRead();
+    }
+
     /** Returns whether an owner is known. */
     public boolean hasOwner() {
         return mElection.owner().isPresent();
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -415,6 +415,30 @@
 
     @Nested
     class OwnerChange {
+        /** The time for which a daemon that has just started asks again for a count. */
+        private static final long COUNT_RETRIES_MS = 480;
+
+        /**
+         * Guards against counts that wait for an owner; a daemon that is shutting down then closes
+         * their connections without an answer.
+         */
+        @Test
+        void countIsRefusedAtOnceWithoutAnOwner() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 2)) {
+                int owner = fixture.awaitOwner();
+                await("the owner is known", () -> fixture.get(1 - owner, "").status() == 200);
+                fixture.daemons.get(owner).stopNow();
+                long shortestMs = Long.MAX_VALUE;
+                for (int i = 0; i < 3; i++) {
+                    long askedAtNanos = System.nanoTime();
+                    assertThat(fixture.get(1 - owner, "").status()).isEqualTo(503);
+                    long tookMs = (System.nanoTime() - askedAtNanos) / 1_000_000;
+                    shortestMs = Math.min(shortestMs, tookMs);
+                }
+                assertThat(shortestMs).isLessThan(COUNT_RETRIES_MS);
+            }
+        }
+
         /** Guards against a new owner that starts tasks again because it does not know they run. */
         @Test
         void newOwnerContinuesRunningTasksWithoutRerun() throws Exception {
