Log revalidations of the configuration and the calls judged around them

The logs could not tell why. Calls that ask for a count leave no line, and neither do revalidations, so a call that passes a revalidation which an earlier call waits for looks like one that waited in vain.

Event 237 tells who answered a revalidation, in what time and for how many calls. Event 238 tells for each call that arrives during a revalidation, or needs one, under which version it was judged and how long it waited; other calls get no line. Two metrics have the sums. The choice of the configuration moves from JobApi to a class of its own, ConfigGate, with its logic unchanged, so that it is tested without a network. The fakes of ConfigCacheTest move to files of their own for that.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
@@ -58,7 +58,8 @@
                         settings.peerAddress(),
                         this::remoteOwnerAddress,
                         settings.seedPeers());
-        mConfigCache = new ConfigCache(store, mControlExecutor, schema, peers, clock, events);
+        mConfigCache =
+                new ConfigCache(store, mControlExecutor, schema, peers, clock, events, metrics);
         mOwnerService =
                 new OwnerService(
                         store,
@@ -88,7 +89,8 @@
                         new LoadGate(load, jobStore, events, metrics),
                         mControlExecutor,
                         clock,
-                        events);
+                        events,
+                        metrics);
         mPeerServer =
                 new HttpServer(
                         settings.peerAddress(),
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
@@ -8,6 +8,7 @@
 import org.lycheeroad.scheduler.PrefixWatch;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.log.EventRecorder;
+import org.lycheeroad.scheduler.log.NodeMetrics;
 import org.lycheeroad.scheduler.peer.PeerClient;
 import org.lycheeroad.scheduler.port.Clock;
 import org.lycheeroad.scheduler.port.MetadataStore;
@@ -46,6 +47,7 @@
     private final PeerClient mPeers;
     private final Clock mClock;
     private final EventRecorder mEvents;
+    private final NodeMetrics mMetrics;
     private final PrefixWatch mWatch;
     private volatile ClusterConfig mConfig;
     private volatile ByteString mSerializedConfig = ByteString.EMPTY;
@@ -68,13 +70,15 @@
             PlatformSchema schema,
             PeerClient peers,
             Clock clock,
-            EventRecorder events) {
+            EventRecorder events,
+            NodeMetrics metrics) {
         mStore = store;
         mExecutor = executor;
         mSchema = schema;
         mPeers = peers;
         mClock = clock;
         mEvents = events;
+        mMetrics = metrics;
         mWatch =
                 new PrefixWatch(
                         store,
@@ -116,6 +120,11 @@
         return mClock.monotonicMs() - mValidatedAtMs;
     }
 
+    /** Returns whether a revalidation is in progress. */
+    public synchronized boolean isRevalidating() {
+        return mRevalidation != null || mNextRevalidation != null;
+    }
+
     /**
      * Returns the end of the revalidation that is requested last, if one is in progress.
      *
@@ -169,18 +178,40 @@
                     if (e == null) {
                         changed.forEach(kv -> applyIfNewer(kv.value(), "store"));
                         mValidatedAtMs = Math.max(mValidatedAtMs, startedAtMs);
+                        recordRevalidation(revalidation, "store", startedAtMs);
                         finishRevalidation(revalidation, current());
                     } else {
                         mExecutor.whenComplete(
                                 queryPeers(),
-                                (anyResponse, queryFailure) ->
-                                        finishRevalidation(
-                                                revalidation,
-                                                anyResponse ? current() : Optional.empty()));
+                                (anyResponse, queryFailure) -> {
+                                    recordRevalidation(
+                                            revalidation,
+                                            anyResponse ? "peers" : "nobody",
+                                            startedAtMs);
+                                    finishRevalidation(
+                                            revalidation,
+                                            anyResponse ? current() : Optional.empty());
+                                });
                     }
                 });
     }
 
+    private void recordRevalidation(
+            Revalidation revalidation, String answeredBy, long startedAtMs) {
+        mMetrics.countConfigRevalidation(answeredBy);
+        mEvents.record(
+                EventCode.CONFIG_REVALIDATED,
+                "",
+                "answered_by="
+                        + answeredBy
+                        + " version="
+                        + current().map(c -> Long.toString(c.version())).orElse("none")
+                        + " took_ms="
+                        + (mClock.monotonicMs() - startedAtMs)
+                        + " calls="
+                        + revalidation.mWaiters.size());
+    }
+
     private void finishRevalidation(Revalidation revalidation, Optional<ClusterConfig> config) {
         synchronized (this) {
             mRevalidation = null;
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -8,7 +8,9 @@
 import org.lycheeroad.coordination.admission.AdmissionRequest;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.config.ConfigCache;
+import org.lycheeroad.scheduler.config.ConfigGate;
 import org.lycheeroad.scheduler.log.EventRecorder;
+import org.lycheeroad.scheduler.log.NodeMetrics;
 import org.lycheeroad.scheduler.owner.OwnerService;
 import org.lycheeroad.scheduler.peer.PeerClient;
 import org.lycheeroad.scheduler.port.Clock;
@@ -39,9 +41,6 @@
 
     private static final long RETRY_INTERVAL_MS = 120;
 
-    /** How many revalidations in a row a call waits for. */
-    private static final int MAX_REVALIDATION_WAITS = 2;
-
     /** How often a count is asked for again; a new daemon learns the owner within this time. */
     private static final int MAX_COUNT_RETRIES = 4;
 
@@ -49,6 +48,7 @@
     private static final int RETRY_AFTER_S = 1;
 
     private final ConfigCache mConfigCache;
+    private final ConfigGate mConfigGate;
     private final JobStore mJobStore;
     private final OwnerService mOwnerService;
     private final PeerClient mPeers;
@@ -65,8 +65,10 @@
             LoadGate loadGate,
             SerialExecutor executor,
             Clock clock,
-            EventRecorder events) {
+            EventRecorder events,
+            NodeMetrics metrics) {
         mConfigCache = config;
+        mConfigGate = new ConfigGate(config, jobs::isStoreUnavailable, clock, events, metrics);
         mJobStore = jobs;
         mOwnerService = owner;
         mPeers = peers;
@@ -155,37 +157,8 @@
 
     private CompletableFuture<ApiResponse> withQueue(
             ApiRequest request, Function<QueueAccess, CompletableFuture<ApiResponse>> action) {
-        return awaitEarlierRevalidations(MAX_REVALIDATION_WAITS)
-                .thenCompose(unused -> withCurrentConfig(request, action));
-    }
-
-    /**
-     * Waits for revalidations that earlier calls have requested. Such a call may request another
-     * one when the first ends, so that waiting once is not enough; a bound keeps calls with unknown
-     * keys from holding up all others.
-     */
-    private CompletableFuture<Void> awaitEarlierRevalidations(int mostWaits) {
-        Optional<CompletableFuture<Optional<ClusterConfig>>> revalidation =
-                mostWaits == 0 || mJobStore.isStoreUnavailable()
-                        ? Optional.empty()
-                        : mConfigCache.revalidationInProgress();
-        return revalidation.isEmpty()
-                ? CompletableFuture.completedFuture(null)
-                : revalidation
-                        .get()
-                        .thenCompose(unused -> awaitEarlierRevalidations(mostWaits - 1));
-    }
-
-    private CompletableFuture<ApiResponse> withCurrentConfig(
-            ApiRequest request, Function<QueueAccess, CompletableFuture<ApiResponse>> action) {
-        Optional<QueueAccess> cachedAccess =
-                mConfigCache.current().map(config -> checkAccess(config, request));
-        if (cachedAccess.isPresent() && cachedAccess.get().rejection == null) {
-            return action.apply(cachedAccess.get());
-        }
-        // A request must not be rejected on the ground of an outdated configuration.
-        return mConfigCache
-                .revalidate()
+        return mConfigGate
+                .configFor(request.path(), config -> checkAccess(config, request).rejection == null)
                 .thenCompose(
                         config -> {
                             if (config.isEmpty()) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -17,6 +17,7 @@
     private final Counter mUnreadableRecords = mRegistry.counter("lycheeroad_unreadable_records");
     private final Timer mOrderLatency = timer("lycheeroad_order_latency");
     private final Timer mCallLatency = timer("lycheeroad_accept_latency");
+    private final Timer mConfigWait = timer("lycheeroad_config_wait");
 
     private final AtomicInteger mEvacuatedDomains =
             mRegistry.gauge("lycheeroad_evacuated_domains", new AtomicInteger());
@@ -63,6 +64,16 @@
         mCallLatency.record(latencyMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Records for how long an API call waited for the configuration under which it is judged. */
+    public void recordConfigWait(long waitedMs) {
+        mConfigWait.record(waitedMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Counts a revalidation of the configuration by who answered it. */
+    public void countConfigRevalidation(String answeredBy) {
+        mRegistry.counter("lycheeroad_config_revalidations", "answered_by", answeredBy).increment();
+    }
+
     /** Counts a response to an API call. */
     public void countResponse(String call, int status) {
         mRegistry
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -10,23 +9,19 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.log.EventRecorder;
+import org.lycheeroad.scheduler.log.NodeMetrics;
 import org.lycheeroad.scheduler.peer.PeerClient;
 import org.lycheeroad.scheduler.port.Clock;
-import org.lycheeroad.scheduler.port.MetadataStore;
-import org.lycheeroad.scheduler.port.PlatformSchema;
 import org.lycheeroad.state.id.EntryId;
-import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.time.HybridClock;
 import org.lycheeroad.state.topology.HostPort;
 import org.lycheeroad.state.work.ClusterConfig;
-import org.lycheeroad.state.work.WorkerStatus;
 import org.lycheeroad.transport.events.EventLog;
 
 /**
@@ -35,11 +30,9 @@
  * that they rejected.
  */
 class ConfigCacheTest {
-    private static final String KEY = "config";
-
     private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
     private final SerialExecutor mExecutor = new SerialExecutor("test", mTimers);
-    private final FakeStore mStore = new FakeStore();
+    private final FakeConfigStore mStore = new FakeConfigStore();
     private final AtomicLong mNowMs = new AtomicLong(1_000_000);
     private ConfigCache mCache;
 
@@ -53,7 +46,8 @@
                         new VersionOnlySchema(),
                         new PeerClient(null, unusedAddress, Optional::empty, List.of()),
                         new TestClock(),
-                        new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16)));
+                        new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16)),
+                        new NodeMetrics());
         mExecutor.start();
         mCache.start();
         while (mStore.mLongPolls.get() == 0) {
@@ -81,7 +75,7 @@
     @Test
     void changedConfigurationIsAppliedBeforeRevalidationCompletes() throws Exception {
         CompletableFuture<Optional<ClusterConfig>> revalidated = mCache.revalidate();
-        mStore.answerImmediateWatch(List.of(FakeStore.configAt(2)));
+        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(2)));
         assertThat(version(revalidated)).isEqualTo(2);
     }
 
@@ -96,7 +90,7 @@
         assertThat(version(revalidated.get(0))).isEqualTo(1);
         // Later calls must get a response to a request that was sent after them.
         mNowMs.addAndGet(10_000);
-        mStore.answerImmediateWatch(List.of(FakeStore.configAt(3)));
+        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(3)));
         for (CompletableFuture<Optional<ClusterConfig>> later : revalidated.subList(1, 20)) {
             assertThat(version(later)).isEqualTo(3);
         }
@@ -115,7 +109,7 @@
         }
         CompletableFuture<Optional<ClusterConfig>> later = mCache.revalidationInProgress().get();
         assertThat(later).isNotDone();
-        mStore.answerImmediateWatch(List.of(FakeStore.configAt(12)));
+        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(12)));
         assertThat(version(later)).isEqualTo(12);
         assertThat(version(revalidated)).isEqualTo(12);
         assertThat(mCache.revalidationInProgress()).isEmpty();
@@ -139,7 +133,7 @@
                         .thenCompose(unused -> mCache.revalidationInProgress().orElseThrow());
         mStore.answerImmediateWatch(List.of());
         assertThat(version(first)).isEqualTo(1);
-        mStore.answerImmediateWatch(List.of(FakeStore.configAt(11)));
+        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(11)));
         assertThat(version(earlier)).isEqualTo(11);
         assertThat(version(later)).isEqualTo(11);
     }
@@ -151,7 +145,7 @@
         mStore.answerImmediateWatch(List.of());
         assertThat(version(first)).isEqualTo(1);
         CompletableFuture<Optional<ClusterConfig>> second = mCache.revalidate();
-        mStore.answerImmediateWatch(List.of(FakeStore.configAt(2)));
+        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(2)));
         assertThat(version(second)).isEqualTo(2);
     }
 
@@ -171,103 +165,4 @@
             return mNowMs.get();
         }
     }
-
-    /** Parses configurations that consist of only their version. */
-    private static final class VersionOnlySchema implements PlatformSchema {
-        @Override
-        public String configKey() {
-            return KEY;
-        }
-
-        @Override
-        public String workerKeyPrefix() {
-            return "workers/";
-        }
-
-        @Override
-        public String evacuationKeyPrefix() {
-            return "evacuations/";
-        }
-
-        @Override
-        public FailureDomainId parseEvacuation(String key) {
-            throw new UnsupportedOperationException("parseEvacuation is not used in this test");
-        }
-
-        @Override
-        public ClusterConfig parseConfig(ByteString value) {
-            return new ClusterConfig(Long.parseLong(value.toStringUtf8()), List.of(), List.of());
-        }
-
-        @Override
-        public WorkerStatus parseWorker(String key, ByteString value) {
-            throw new UnsupportedOperationException("parseWorker is not used in this test");
-        }
-    }
-
-    /** A store whose responses to watches without a wait time are given by the test. */
-    private static final class FakeStore implements MetadataStore {
-        private final AtomicInteger mReads = new AtomicInteger();
-        private final AtomicInteger mLongPolls = new AtomicInteger();
-        private final List<CompletableFuture<WatchResponse>> mImmediateWatches = new ArrayList<>();
-
-        static KeyValue configAt(long version) {
-            return new KeyValue(KEY, ByteString.copyFromUtf8(Long.toString(version)), version, 0);
-        }
-
-        /** Waits for a watch without a wait time and completes it. */
-        synchronized void answerImmediateWatch(List<KeyValue> keyValues)
-                throws InterruptedException {
-            while (mImmediateWatches.isEmpty()) {
-                wait(10);
-            }
-            List<Change> changes = keyValues.stream().map(kv -> new Change(KEY, kv)).toList();
-            mImmediateWatches.remove(0).complete(new WatchResponse(changes, 10));
-        }
-
-        @Override
-        public CompletableFuture<Page> list(String prefix, String afterKey) {
-            return CompletableFuture.completedFuture(new Page(List.of(configAt(1)), "", 5));
-        }
-
-        @Override
-        public synchronized CompletableFuture<WatchResponse> watch(
-                String prefix, long afterRevision, long waitMs, long slackMs) {
-            CompletableFuture<WatchResponse> response = new CompletableFuture<>();
-            if (waitMs > 0) {
-                mLongPolls.incrementAndGet();
-            } else {
-                assertThat(afterRevision).isEqualTo(5);
-                mImmediateWatches.add(response);
-                notifyAll();
-            }
-            return response;
-        }
-
-        @Override
-        public CompletableFuture<Optional<KeyValue>> read(String key) {
-            mReads.incrementAndGet();
-            return CompletableFuture.completedFuture(Optional.of(configAt(1)));
-        }
-
-        @Override
-        public CompletableFuture<CommitResult> commit(Transaction transaction) {
-            throw new UnsupportedOperationException("commit is not used in this test");
-        }
-
-        @Override
-        public CompletableFuture<Long> grantLease(long ttlMs) {
-            throw new UnsupportedOperationException("leases are not used in this test");
-        }
-
-        @Override
-        public CompletableFuture<Boolean> renewLease(long leaseId) {
-            throw new UnsupportedOperationException("leases are not used in this test");
-        }
-
-        @Override
-        public CompletableFuture<Boolean> revokeLease(long leaseId) {
-            throw new UnsupportedOperationException("leases are not used in this test");
-        }
-    }
 }
--- /dev/null
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
@@ -0,0 +1,149 @@
+package org.lycheeroad.scheduler.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.lycheeroad.scheduler.HealthTrackingStore;
+import org.lycheeroad.scheduler.SerialExecutor;
+import org.lycheeroad.scheduler.log.EventRecorder;
+import org.lycheeroad.scheduler.log.NodeMetrics;
+import org.lycheeroad.scheduler.peer.PeerClient;
+import org.lycheeroad.scheduler.port.Clock;
+import org.lycheeroad.state.event.EventCode;
+import org.lycheeroad.state.event.TimelineEvent;
+import org.lycheeroad.state.id.EntryId;
+import org.lycheeroad.state.time.HybridClock;
+import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.ClusterConfig;
+import org.lycheeroad.transport.events.EventLog;
+
+/** Guards against API calls that are judged under an older configuration than earlier ones. */
+class ConfigGateTest {
+    private final ScheduledExecutorService mTimers = Executors.newSingleThreadScheduledExecutor();
+    private final SerialExecutor mExecutor = new SerialExecutor("test", mTimers);
+    private final FakeConfigStore mPlatformStore = new FakeConfigStore();
+    private final EventLog mEventLog = new EventLog(new EntryId("vm"), new HybridClock(), 16);
+    private HealthTrackingStore mStore;
+    private ConfigCache mCache;
+    private ConfigGate mGate;
+
+    @BeforeEach
+    void setUp() throws InterruptedException {
+        EventRecorder events = new EventRecorder(mEventLog);
+        NodeMetrics metrics = new NodeMetrics();
+        HostPort unusedAddress = new HostPort("127.0.0.1", 1);
+        mStore = new HealthTrackingStore(mPlatformStore, mExecutor, Clock.system(), events);
+        mCache =
+                new ConfigCache(
+                        mStore,
+                        mExecutor,
+                        new VersionOnlySchema(),
+                        new PeerClient(null, unusedAddress, Optional::empty, List.of()),
+                        Clock.system(),
+                        events,
+                        metrics);
+        mGate = new ConfigGate(mCache, mStore::isUnavailable, Clock.system(), events, metrics);
+        mExecutor.start();
+        mCache.start();
+        while (mPlatformStore.mLongPolls.get() == 0) {
+            Thread.sleep(1);
+        }
+    }
+
+    @AfterEach
+    void tearDown() {
+        mExecutor.stop();
+        mTimers.shutdownNow();
+    }
+
+    @Nested
+    class AvailableStore {
+        @Test
+        void callThatIsServedUnderTheCachedVersionDoesNotWait() {
+            assertThat(callServedUntil(1)).isCompletedWithValueMatching(c -> versionOf(c) == 1);
+            assertThat(events()).isEmpty();
+        }
+
+        @Test
+        void laterCallWaitsForTheRevalidationOfAnEarlierOne() throws Exception {
+            var earlier = callServedFrom(2);
+            var later = callServedUntil(1);
+            assertThat(later).isNotDone();
+            assertThat(versions(List.of(earlier, later), 2)).containsExactly(2L, 2L);
+        }
+
+        /** An incident like inc1 of fcvf must be explicable by the log. */
+        @Test
+        void logTellsUnderWhichVersionACallWasJudgedAndThatItWaited() throws Exception {
+            var call = callServedFrom(2);
+            assertThat(versions(List.of(call), 2)).containsExactly(2L);
+            assertThat(events())
+                    .anySatisfy(e -> assertThat(e).contains("answered_by=store version=2"))
+                    .anySatisfy(e -> assertThat(e).contains("path=/q/1 version=2 waited_ms="));
+        }
+    }
+
+    /** Returns the configuration for a call of a queue that was added in a version. */
+    private CompletableFuture<Optional<ClusterConfig>> callServedFrom(long version) {
+        return call(config -> config.version() >= version);
+    }
+
+    /** Returns the configuration for a call of a queue that was removed after a version. */
+    private CompletableFuture<Optional<ClusterConfig>> callServedUntil(long version) {
+        return call(config -> config.version() <= version);
+    }
+
+    private CompletableFuture<Optional<ClusterConfig>> call(Predicate<ClusterConfig> suffices) {
+        return mGate.configFor("/q/1", suffices);
+    }
+
+    /**
+     * Lets the store answer revalidations until all calls are judged.
+     *
+     * @param answers the version in the store at each revalidation; the last one stays
+     * @return the versions under which the calls are judged, in the order of the calls
+     */
+    private List<Long> versions(
+            List<CompletableFuture<Optional<ClusterConfig>>> calls, long... answers)
+            throws Exception {
+        int next = 0;
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
+        while (!calls.stream().allMatch(CompletableFuture::isDone)) {
+            assertThat(System.nanoTime()).as("time to judge all calls").isLessThan(deadlineNanos);
+            if (mPlatformStore.hasImmediateWatch()) {
+                long version = answers[Math.min(next++, answers.length - 1)];
+                mPlatformStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(version)));
+            }
+            Thread.sleep(1);
+        }
+        return calls.stream().map(call -> versionOf(call.join())).toList();
+    }
+
+    private static long versionOf(Optional<ClusterConfig> config) {
+        return config.orElseThrow().version();
+    }
+
+    /** Returns the texts of the events about revalidations and the calls that they concern. */
+    private List<String> events() {
+        return mEventLog
+                .page(
+                        0,
+                        e ->
+                                e.number() == EventCode.CONFIG_REVALIDATED.number()
+                                        || e.number() == EventCode.CALL_JUDGED.number())
+                .events()
+                .stream()
+                .map(TimelineEvent::text)
+                .toList();
+    }
+}
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -86,7 +86,8 @@
                         new FakeSchema(),
                         new PeerClient(null, ADDRESS, Optional::empty, List.of()),
                         mClock,
-                        events);
+                        events,
+                        new NodeMetrics());
         Term term = new Term(1, 10, 1, mClock);
         term.extendLease(mClock.monotonicMs() + 100_000);
         OwnerSession session =
--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -27,6 +27,8 @@
     CONFIG_IN_FORCE(234, "configuration in force"),
     RECORD_UNREADABLE(235, "record cannot be read"),
     SETTINGS_CHECKED(236, "settings checked again"),
+    CONFIG_REVALIDATED(237, "configuration revalidated for API calls"),
+    CALL_JUDGED(238, "API call judged during or after a revalidation of the configuration"),
     CLAIM_ABANDONED(240, "claim without an answer given up"),
 
     JOB_ACCEPTED(300, "job accepted"),
