config: two failing tests of calls judged before earlier ones

The earlier call waited 398 ms for a revalidation; the later one was judged after 0 ms with store_unavailable=true.

--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
@@ -93,6 +93,46 @@
         }
     }
 
+    @Nested
+    class UnavailableStore {
+        @BeforeEach
+        void loseStore() {
+            mPlatformStore.loseReads();
+            while (!mStore.isUnavailable()) {
+                mStore.read("any");
+            }
+        }
+
+        /**
+         * Guards against the incident inc1 of fcvf: while a call waited for a revalidation, a later
+         * one was served under an older configuration.
+         */
+        @Test
+        void laterCallIsNotJudgedBeforeAnEarlierOne() throws Exception {
+            var earlier = callServedFrom(2);
+            var later = callServedUntil(1);
+            assertThat(versions(List.of(earlier, later), 2)).containsExactly(2L, 2L);
+        }
+    }
+
+    @Nested
+    class RepeatedRevalidations {
+        /**
+         * Guards against a call that waits for a bounded number of revalidations and is then judged
+         * although an earlier call still waits for a further one.
+         */
+        @Test
+        void callsAreJudgedInTheirOrder() throws Exception {
+            var calls =
+                    List.of(
+                            callServedFrom(3),
+                            callServedFrom(3),
+                            callServedFrom(3),
+                            callServedUntil(2));
+            assertThat(versions(calls, 1, 1, 3)).isSorted();
+        }
+    }
+
     /** Returns the configuration for a call of a queue that was added in a version. */
     private CompletableFuture<Optional<ClusterConfig>> callServedFrom(long version) {
         return call(config -> config.version() >= version);
