config: judge calls in their order also while the store is unavailable

Cause: a call whose queue or key is not known waits for a revalidation of the configuration, and later calls wait for that too, so that none is judged under an older version than an earlier call. While the store was taken as unavailable, ConfigGate let them pass without waiting. The earlier call then waited out the store's time-out of 900 ms and a query to the other daemons, in which the later one was judged under the old version.

Change: calls always wait for the revalidation in progress. They must not wait for the time-out of a store that is known to be silent, so the other daemons are asked at the same time as the store then, and the first answer counts.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
@@ -3,8 +3,10 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.lycheeroad.scheduler.HealthTrackingStore;
 import org.lycheeroad.scheduler.PrefixWatch;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.log.EventRecorder;
@@ -34,6 +36,13 @@
     /** Several times the network latency between regions. */
     private static final long REVALIDATION_TIMEOUT_MS = 900;
 
+    /** Who answered a revalidation first; logs and metrics have the names in lower case. */
+    private enum AnsweredBy {
+        STORE,
+        PEERS,
+        NOBODY
+    }
+
     /**
      * A compressed configuration.
      *
@@ -41,7 +50,7 @@
      */
     private record CompressedConfig(long version, ByteString bytes) {}
 
-    private final MetadataStore mStore;
+    private final HealthTrackingStore mStore;
     private final SerialExecutor mExecutor;
     private final PlatformSchema mSchema;
     private final PeerClient mPeers;
@@ -65,7 +74,7 @@
     private Revalidation mNextRevalidation;
 
     public ConfigCache(
-            MetadataStore store,
+            HealthTrackingStore store,
             SerialExecutor executor,
             PlatformSchema schema,
             PeerClient peers,
@@ -141,7 +150,8 @@
     /**
      * Checks whether a newer configuration exists and applies it; has to be called before an API
      * call is rejected on the ground of the configuration. The check begins after this call; all
-     * calls made during a check share the next one.
+     * calls made during a check share the next one. While the store is unavailable, the other
+     * daemons are asked without waiting for its time-out, as further calls wait for the end.
      *
      * @return the newest configuration, or empty if neither the store nor another daemon responds
      */
@@ -172,38 +182,70 @@
         mNextRevalidation = null;
         mRevalidation = revalidation;
         long startedAtMs = mClock.monotonicMs();
+        boolean storeUnavailable = mStore.isUnavailable();
+        CompletableFuture<Boolean> store = queryStore(startedAtMs);
+        CompletableFuture<Boolean> peers =
+                storeUnavailable
+                        ? queryPeers()
+                        : store.thenCompose(
+                                answered ->
+                                        answered
+                                                ? CompletableFuture.completedFuture(false)
+                                                : queryPeers());
+        firstAnswer(store, peers)
+                .thenAccept(
+                        answeredBy -> {
+                            recordRevalidation(revalidation, answeredBy, startedAtMs);
+                            finishRevalidation(
+                                    revalidation,
+                                    answeredBy == AnsweredBy.NOBODY ? Optional.empty() : current());
+                        });
+    }
+
+    /** Reads the configuration from the store if it has changed; false if it does not respond. */
+    private CompletableFuture<Boolean> queryStore(long startedAtMs) {
+        CompletableFuture<Boolean> answered = new CompletableFuture<>();
         mExecutor.whenComplete(
                 readIfChanged(),
                 (changed, e) -> {
                     if (e == null) {
                         changed.forEach(kv -> applyIfNewer(kv.value(), "store"));
                         mValidatedAtMs = Math.max(mValidatedAtMs, startedAtMs);
-                        recordRevalidation(revalidation, "store", startedAtMs);
-                        finishRevalidation(revalidation, current());
-                    } else {
-                        mExecutor.whenComplete(
-                                queryPeers(),
-                                (anyResponse, queryFailure) -> {
-                                    recordRevalidation(
-                                            revalidation,
-                                            anyResponse ? "peers" : "nobody",
-                                            startedAtMs);
-                                    finishRevalidation(
-                                            revalidation,
-                                            anyResponse ? current() : Optional.empty());
-                                });
                     }
+                    answered.complete(e == null);
                 });
+        return answered;
+    }
+
+    /** Returns who answers first; both queries end on the executor's thread. */
+    private static CompletableFuture<AnsweredBy> firstAnswer(
+            CompletableFuture<Boolean> store, CompletableFuture<Boolean> peers) {
+        CompletableFuture<AnsweredBy> first = new CompletableFuture<>();
+        store.thenAccept(answered -> completeIf(answered, first, AnsweredBy.STORE));
+        peers.thenAccept(answered -> completeIf(answered, first, AnsweredBy.PEERS));
+        store.thenAcceptBoth(
+                peers,
+                (storeAnswered, peersAnswered) ->
+                        completeIf(!storeAnswered && !peersAnswered, first, AnsweredBy.NOBODY));
+        return first;
+    }
+
+    private static void completeIf(
+            boolean condition, CompletableFuture<AnsweredBy> answer, AnsweredBy answeredBy) {
+        if (condition) {
+            answer.complete(answeredBy);
+        }
     }
 
     private void recordRevalidation(
-            Revalidation revalidation, String answeredBy, long startedAtMs) {
-        mMetrics.countConfigRevalidation(answeredBy);
+            Revalidation revalidation, AnsweredBy answeredBy, long startedAtMs) {
+        String answeredByText = answeredBy.name().toLowerCase(Locale.ROOT);
+        mMetrics.countConfigRevalidation(answeredByText);
         mEvents.record(
                 EventCode.CONFIG_REVALIDATED,
                 "",
                 "answered_by="
-                        + answeredBy
+                        + answeredByText
                         + " version="
                         + current().map(c -> Long.toString(c.version())).orElse("none")
                         + " took_ms="
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigGate.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigGate.java
@@ -70,9 +70,7 @@
      */
     private CompletableFuture<Void> awaitEarlierRevalidations(int mostWaits) {
         Optional<CompletableFuture<Optional<ClusterConfig>>> revalidation =
-                mostWaits == 0 || mStoreUnavailable.getAsBoolean()
-                        ? Optional.empty()
-                        : mConfigCache.revalidationInProgress();
+                mostWaits == 0 ? Optional.empty() : mConfigCache.revalidationInProgress();
         return revalidation.isEmpty()
                 ? CompletableFuture.completedFuture(null)
                 : revalidation
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.lycheeroad.scheduler.HealthTrackingStore;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.log.EventRecorder;
 import org.lycheeroad.scheduler.log.NodeMetrics;
@@ -39,14 +40,17 @@
     @BeforeEach
     void setUp() throws InterruptedException {
         HostPort unusedAddress = new HostPort("127.0.0.1", 1);
+        Clock clock = new TestClock();
+        EventRecorder events =
+                new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16));
         mCache =
                 new ConfigCache(
-                        mStore,
+                        new HealthTrackingStore(mStore, mExecutor, clock, events),
                         mExecutor,
                         new VersionOnlySchema(),
                         new PeerClient(null, unusedAddress, Optional::empty, List.of()),
-                        new TestClock(),
-                        new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16)),
+                        clock,
+                        events,
                         new NodeMetrics());
         mExecutor.start();
         mCache.start();
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.coordination.jobs.OrderAnswer;
 import org.lycheeroad.protocol.json.Json;
+import org.lycheeroad.scheduler.HealthTrackingStore;
 import org.lycheeroad.scheduler.NodeSettings;
 import org.lycheeroad.scheduler.SerialExecutor;
 import org.lycheeroad.scheduler.StoreKeys;
@@ -81,7 +82,7 @@
                 new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16));
         ConfigCache config =
                 new ConfigCache(
-                        mStore,
+                        new HealthTrackingStore(mStore, mExecutor, mClock, events),
                         mExecutor,
                         new FakeSchema(),
                         new PeerClient(null, ADDRESS, Optional::empty, List.of()),
--- a/standins/src/main/java/org/lycheeroad/standins/platform/StoreAccess.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/StoreAccess.java
@@ -17,6 +17,7 @@
     private final StoreServer mStore;
     private final HttpServer mServer;
     private volatile boolean mRefusing;
+    private volatile boolean mSilent;
 
     StoreAccess(StoreServer store, HostPort listen, EventLoopGroup eventLoops) {
         mStore = store;
@@ -43,7 +44,15 @@
         mRefusing = refusing;
     }
 
+    /** Sets whether the store leaves all calls of the VM unanswered. */
+    public void setSilent(boolean silent) {
+        mSilent = silent;
+    }
+
     private void handle(HttpCall call) {
+        if (mSilent) {
+            return;
+        }
         if (mRefusing) {
             call.respondJson(503, "{}");
         } else {
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -315,6 +315,9 @@
 
     @Nested
     class StoreFaults {
+        /** The time after which a call to the store counts as lost. */
+        private static final long STORE_TIMEOUT_MS = 900;
+
         /** Guards against callers that wait while the store is unavailable. */
         @Test
         void callersAreRejectedImmediatelyWhileTheStoreIsUnavailable() throws Exception {
@@ -378,6 +381,30 @@
             }
         }
 
+        /**
+         * Guards against callers that wait for the store's time-out behind a call with an unknown
+         * key, although the store is known to be silent.
+         */
+        @Test
+        void vmBehindASilentStoreChecksKeysWithTheOtherVms() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 3)) {
+                int cutOff = (fixture.awaitOwner() + 1) % 3;
+                fixture.storeAccesses.get(cutOff).setSilent(true);
+                await(
+                        "an unknown key is rejected before the store's time-out",
+                        () -> {
+                            long startNanos = System.nanoTime();
+                            assertThat(fixture.call(cutOff, "GET", "", "other", "").status())
+                                    .isEqualTo(401);
+                            long tookMs = (System.nanoTime() - startNanos) / 1_000_000;
+                            return tookMs < STORE_TIMEOUT_MS;
+                        });
+                fixture.platform.writeConfig("key-2");
+                assertThat(fixture.call(cutOff, "GET", "", "key-2", "").status()).isEqualTo(200);
+                assertThat(fixture.get(cutOff, "").status()).isEqualTo(401);
+            }
+        }
+
         /** Guards against jobs that are lost or run twice when the store drops write responses. */
         @Test
         void writesWithLostResponsesAreNeitherLostNorRepeated() throws Exception {
