config: bound the wait of calls without judging them out of order

What callers would see: a call served under an older configuration than an earlier one, when several calls with queues or keys that a VM does not know arrive during a revalidation.

Cause: a call waited for at most two revalidations and was then judged under the cached version. An earlier call whose own revalidation began after these two was still waiting. The bound kept calls with unknown keys from holding up all others.

Evidence: ConfigGateTest.RepeatedRevalidations.callsAreJudgedInTheirOrder judged four calls under versions 1, 1, 3 and 1.

Change: ConfigGate keeps the waiting calls in one queue. The end of a revalidation decides all calls that had arrived when it began, for good, and those behind them up to the first that needs another revalidation. So the order holds and a call waits for two revalidations at most, whatever the others need. ConfigCache no longer keeps waiters; three of its tests move to the gate, with the same calls and versions: 20 calls share two requests to the store, a later call waits for the revalidation of an earlier one (12, 2), and for the one that an earlier call requests at the end of another (11, 3).

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
@@ -1,7 +1,6 @@
 package org.lycheeroad.scheduler.config;
 
 import com.google.protobuf.ByteString;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
@@ -67,12 +66,6 @@
     /** The store's revision up to which changes are known; 0 before the first listing. */
     private volatile long mWatchedRevision;
 
-    /** The revalidation in progress, or null; guarded by this. */
-    private Revalidation mRevalidation;
-
-    /** The revalidation to start after the one in progress, or null; guarded by this. */
-    private Revalidation mNextRevalidation;
-
     public ConfigCache(
             HealthTrackingStore store,
             SerialExecutor executor,
@@ -129,58 +122,13 @@
         return mClock.monotonicMs() - mValidatedAtMs;
     }
 
-    /** Returns whether a revalidation is in progress. */
-    public synchronized boolean isRevalidating() {
-        return mRevalidation != null || mNextRevalidation != null;
-    }
-
-    /**
-     * Returns the end of the revalidation that is requested last, if one is in progress.
-     *
-     * <p>API calls that arrive meanwhile have to wait for it; otherwise they could be served under
-     * an older configuration than an earlier call that waits for it. Those who wait continue in the
-     * order in which they began to wait.
-     */
-    public synchronized Optional<CompletableFuture<Optional<ClusterConfig>>>
-            revalidationInProgress() {
-        Revalidation newest = mNextRevalidation == null ? mRevalidation : mNextRevalidation;
-        return Optional.ofNullable(newest).map(Revalidation::addWaiter);
-    }
-
     /**
-     * Checks whether a newer configuration exists and applies it; has to be called before an API
-     * call is rejected on the ground of the configuration. The check begins after this call; all
-     * calls made during a check share the next one. While the store is unavailable, the other
-     * daemons are asked without waiting for its time-out, as further calls wait for the end.
+     * Checks whether a newer configuration exists and applies it. While the store is unavailable,
+     * the other daemons are asked without waiting for its time-out.
      *
      * @return the newest configuration, or empty if neither the store nor another daemon responds
      */
-    public synchronized CompletableFuture<Optional<ClusterConfig>> revalidate() {
-        if (mNextRevalidation == null) {
-            mNextRevalidation = new Revalidation();
-        }
-        CompletableFuture<Optional<ClusterConfig>> end = mNextRevalidation.addWaiter();
-        if (mRevalidation == null) {
-            startNextRevalidation();
-        }
-        return end;
-    }
-
-    /** A check for a newer configuration, and the calls that wait for it in their order. */
-    private static final class Revalidation {
-        private final List<CompletableFuture<Optional<ClusterConfig>>> mWaiters = new ArrayList<>();
-
-        CompletableFuture<Optional<ClusterConfig>> addWaiter() {
-            CompletableFuture<Optional<ClusterConfig>> waiter = new CompletableFuture<>();
-            mWaiters.add(waiter);
-            return waiter;
-        }
-    }
-
-    private synchronized void startNextRevalidation() {
-        Revalidation revalidation = mNextRevalidation;
-        mNextRevalidation = null;
-        mRevalidation = revalidation;
+    public CompletableFuture<Optional<ClusterConfig>> revalidate() {
         long startedAtMs = mClock.monotonicMs();
         boolean storeUnavailable = mStore.isUnavailable();
         CompletableFuture<Boolean> store = queryStore(startedAtMs);
@@ -192,13 +140,11 @@
                                         answered
                                                 ? CompletableFuture.completedFuture(false)
                                                 : queryPeers());
-        firstAnswer(store, peers)
-                .thenAccept(
+        return firstAnswer(store, peers)
+                .thenApply(
                         answeredBy -> {
-                            recordRevalidation(revalidation, answeredBy, startedAtMs);
-                            finishRevalidation(
-                                    revalidation,
-                                    answeredBy == AnsweredBy.NOBODY ? Optional.empty() : current());
+                            recordRevalidation(answeredBy, startedAtMs);
+                            return answeredBy == AnsweredBy.NOBODY ? Optional.empty() : current();
                         });
     }
 
@@ -237,8 +183,7 @@
         }
     }
 
-    private void recordRevalidation(
-            Revalidation revalidation, AnsweredBy answeredBy, long startedAtMs) {
+    private void recordRevalidation(AnsweredBy answeredBy, long startedAtMs) {
         String answeredByText = answeredBy.name().toLowerCase(Locale.ROOT);
         mMetrics.countConfigRevalidation(answeredByText);
         mEvents.record(
@@ -249,23 +194,7 @@
                         + " version="
                         + current().map(c -> Long.toString(c.version())).orElse("none")
                         + " took_ms="
-                        + (mClock.monotonicMs() - startedAtMs)
-                        + " calls="
-                        + revalidation.mWaiters.size());
-    }
-
-    private void finishRevalidation(Revalidation revalidation, Optional<ClusterConfig> config) {
-        synchronized (this) {
-            mRevalidation = null;
-        }
-        // A waiter that requests another revalidation is seen by those behind it, which then wait
-        // for that one too. Nobody else can join this list any more.
-        revalidation.mWaiters.forEach(waiter -> waiter.complete(config));
-        synchronized (this) {
-            if (mRevalidation == null && mNextRevalidation != null) {
-                startNextRevalidation();
-            }
-        }
+                        + (mClock.monotonicMs() - startedAtMs));
     }
 
     /**
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -68,7 +68,7 @@
             EventRecorder events,
             NodeMetrics metrics) {
         mConfigCache = config;
-        mConfigGate = new ConfigGate(config, jobs::isStoreUnavailable, clock, events, metrics);
+        mConfigGate = new ConfigGate(config, clock, events, metrics);
         mJobStore = jobs;
         mOwnerService = owner;
         mPeers = peers;
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -83,65 +82,6 @@
         assertThat(version(revalidated)).isEqualTo(2);
     }
 
-    /** Many callers with an unknown API key must not cause a store request each. */
-    @Test
-    void concurrentRevalidationsShareAStoreRequest() throws Exception {
-        List<CompletableFuture<Optional<ClusterConfig>>> revalidated = new ArrayList<>();
-        for (int i = 0; i < 20; i++) {
-            revalidated.add(mCache.revalidate());
-        }
-        mStore.answerImmediateWatch(List.of());
-        assertThat(version(revalidated.get(0))).isEqualTo(1);
-        // Later calls must get a response to a request that was sent after them.
-        mNowMs.addAndGet(10_000);
-        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(3)));
-        for (CompletableFuture<Optional<ClusterConfig>> later : revalidated.subList(1, 20)) {
-            assertThat(version(later)).isEqualTo(3);
-        }
-    }
-
-    /**
-     * Guards against a fault seen on fcvf-grown scale-1: a call that waited for a revalidation was
-     * served under version 12, but a later call that did not wait was served under version 2.
-     */
-    @Test
-    void laterCallersCanWaitForARevalidationInProgress() throws Exception {
-        assertThat(mCache.revalidationInProgress()).isEmpty();
-        CompletableFuture<Optional<ClusterConfig>> revalidated = mCache.revalidate();
-        while (mCache.revalidationInProgress().isEmpty()) {
-            Thread.sleep(1);
-        }
-        CompletableFuture<Optional<ClusterConfig>> later = mCache.revalidationInProgress().get();
-        assertThat(later).isNotDone();
-        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(12)));
-        assertThat(version(later)).isEqualTo(12);
-        assertThat(version(revalidated)).isEqualTo(12);
-        assertThat(mCache.revalidationInProgress()).isEmpty();
-    }
-
-    /**
-     * Guards against a fault seen on steyrtal-buegel scale-1, seed 780186304714: two calls waited
-     * for one revalidation; when it ended, the earlier one requested another and was served under
-     * version 11, while the later one was served at once under version 3.
-     */
-    @Test
-    void laterWaiterSeesTheRevalidationThatAnEarlierOneRequests() throws Exception {
-        CompletableFuture<Optional<ClusterConfig>> first = mCache.revalidate();
-        CompletableFuture<Optional<ClusterConfig>> earlier =
-                mCache.revalidationInProgress()
-                        .orElseThrow()
-                        .thenCompose(unused -> mCache.revalidate());
-        CompletableFuture<Optional<ClusterConfig>> later =
-                mCache.revalidationInProgress()
-                        .orElseThrow()
-                        .thenCompose(unused -> mCache.revalidationInProgress().orElseThrow());
-        mStore.answerImmediateWatch(List.of());
-        assertThat(version(first)).isEqualTo(1);
-        mStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(11)));
-        assertThat(version(earlier)).isEqualTo(11);
-        assertThat(version(later)).isEqualTo(11);
-    }
-
     /** Guards against a call that is rejected although its key was confirmed just before it. */
     @Test
     void recentValidationDoesNotReplaceANewOne() throws Exception {
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
@@ -2,8 +2,10 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -36,6 +38,7 @@
     private HealthTrackingStore mStore;
     private ConfigCache mCache;
     private ConfigGate mGate;
+    private int mAnswered;
 
     @BeforeEach
     void setUp() throws InterruptedException {
@@ -52,7 +55,7 @@
                         Clock.system(),
                         events,
                         metrics);
-        mGate = new ConfigGate(mCache, mStore::isUnavailable, Clock.system(), events, metrics);
+        mGate = new ConfigGate(mCache, Clock.system(), events, metrics);
         mExecutor.start();
         mCache.start();
         while (mPlatformStore.mLongPolls.get() == 0) {
@@ -74,12 +77,32 @@
             assertThat(events()).isEmpty();
         }
 
+        /** Many callers with an unknown API key must not cause a store request each. */
+        @Test
+        void concurrentCallsShareARevalidation() throws Exception {
+            List<CompletableFuture<Optional<ClusterConfig>>> calls = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                calls.add(callServedFrom(3));
+            }
+            List<Long> versions = versions(calls, 1, 3);
+            assertThat(versions.get(0)).isEqualTo(1);
+            // Later calls must get a response to a request that was sent after them.
+            assertThat(versions.subList(1, 20)).containsOnly(3L);
+            assertThat(mAnswered).isEqualTo(2);
+        }
+
+        /**
+         * Guards against a fault seen on fcvf-grown scale-1: a call that waited for a revalidation
+         * was served under version 12, but a later call that did not wait was served under version
+         * 2.
+         */
         @Test
         void laterCallWaitsForTheRevalidationOfAnEarlierOne() throws Exception {
-            var earlier = callServedFrom(2);
-            var later = callServedUntil(1);
+            var earlier = callServedFrom(12);
+            var later = callServedUntil(2);
             assertThat(later).isNotDone();
-            assertThat(versions(List.of(earlier, later), 2)).containsExactly(2L, 2L);
+            assertThat(versions(List.of(earlier, later), 12)).containsExactly(12L, 12L);
+            assertThat(callServedFrom(12)).isDone();
         }
 
         /** An incident like inc1 of fcvf must be explicable by the log. */
@@ -117,6 +140,17 @@
 
     @Nested
     class RepeatedRevalidations {
+        /**
+         * Guards against a fault seen on steyrtal-buegel scale-1, seed 780186304714: two calls
+         * waited for one revalidation; when it ended, the earlier one requested another and was
+         * served under version 11, while the later one was served at once under version 3.
+         */
+        @Test
+        void laterCallWaitsForTheRevalidationThatAnEarlierOneRequests() throws Exception {
+            var calls = List.of(callServedFrom(11), callServedFrom(11), callServedUntil(3));
+            assertThat(versions(calls, 1, 11)).containsExactly(1L, 11L, 11L);
+        }
+
         /**
          * Guards against a call that waits for a bounded number of revalidations and is then judged
          * although an earlier call still waits for a further one.
@@ -131,6 +165,64 @@
                             callServedUntil(2));
             assertThat(versions(calls, 1, 1, 3)).isSorted();
         }
+
+        /** Guards against calls with unknown keys that hold up all others. */
+        @Test
+        void callWaitsForAtMostTwoRevalidations() throws Exception {
+            callServedFrom(9);
+            callServedFrom(9);
+            var call = callServedUntil(1);
+            answerRevalidation(1);
+            while (!mPlatformStore.hasImmediateWatch()) {
+                Thread.sleep(1);
+            }
+            callServedFrom(9);
+            answerRevalidation(1);
+            assertThat(call).succeedsWithin(5, TimeUnit.SECONDS);
+        }
+
+        /** Guards against orders of calls, changes and answers that no other test has. */
+        @Test
+        void callsInRandomOrderAreJudgedInTheirOrder() throws Exception {
+            long version = 1;
+            for (int seed = 0; seed < 50; seed++) {
+                version = checkRandomCalls(new Random(seed), version);
+            }
+        }
+
+        /** Returns the version in the store at the end. */
+        private long checkRandomCalls(Random random, long firstVersion) throws Exception {
+            long version = firstVersion;
+            List<Predicate<ClusterConfig>> queues = new ArrayList<>();
+            List<Long> storedAtArrival = new ArrayList<>();
+            List<CompletableFuture<Optional<ClusterConfig>>> calls = new ArrayList<>();
+            for (int step = 0; step < 40; step++) {
+                int action = random.nextInt(4);
+                if (action == 0) {
+                    version++;
+                } else if (action == 1 && mPlatformStore.hasImmediateWatch()) {
+                    answerRevalidation(version);
+                } else {
+                    long limit = version - 1 + random.nextInt(3);
+                    queues.add(
+                            random.nextBoolean()
+                                    ? config -> config.version() >= limit
+                                    : config -> config.version() <= limit);
+                    storedAtArrival.add(version);
+                    calls.add(call(queues.get(queues.size() - 1)));
+                }
+            }
+            List<Long> versions = versions(calls, version);
+            assertThat(versions).isSorted();
+            for (int i = 0; i < calls.size(); i++) {
+                if (!queues.get(i).test(calls.get(i).join().orElseThrow())) {
+                    assertThat(versions.get(i))
+                            .as("version under which a call is rejected")
+                            .isGreaterThanOrEqualTo(storedAtArrival.get(i));
+                }
+            }
+            return version;
+        }
     }
 
     /** Returns the configuration for a call of a queue that was added in a version. */
@@ -161,14 +253,18 @@
         while (!calls.stream().allMatch(CompletableFuture::isDone)) {
             assertThat(System.nanoTime()).as("time to judge all calls").isLessThan(deadlineNanos);
             if (mPlatformStore.hasImmediateWatch()) {
-                long version = answers[Math.min(next++, answers.length - 1)];
-                mPlatformStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(version)));
+                answerRevalidation(answers[Math.min(next++, answers.length - 1)]);
             }
             Thread.sleep(1);
         }
         return calls.stream().map(call -> versionOf(call.join())).toList();
     }
 
+    private void answerRevalidation(long version) throws InterruptedException {
+        mPlatformStore.answerImmediateWatch(List.of(FakeConfigStore.configAt(version)));
+        mAnswered++;
+    }
+
     private static long versionOf(Optional<ClusterConfig> config) {
         return config.orElseThrow().version();
     }
