config: end a revalidation also after an unexpected error

What callers would see: no answer to any call of a VM, once a configuration makes the parser fail with an error that it does not declare.

Cause: API calls wait for the revalidation in progress. Its end was reached only if the response of the store or of the other daemons was applied without an exception; otherwise all later calls waited for good.

Change: the query ends in any case. After an error it counts as not answered, so that calls which need a newer configuration get 503 and are not rejected by the old one.

Before: ConfigCacheTest.revalidationEndsIfTheConfigurationCannotBeHandled timed out after 5 s. After: it passes.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigCache.java
@@ -148,17 +148,27 @@
                         });
     }
 
-    /** Reads the configuration from the store if it has changed; false if it does not respond. */
+    /**
+     * Reads the configuration from the store if it has changed.
+     *
+     * @return whether the store responds and its response has been applied; ends after an
+     *     unexpected error too, since API calls wait for it
+     */
     private CompletableFuture<Boolean> queryStore(long startedAtMs) {
         CompletableFuture<Boolean> answered = new CompletableFuture<>();
         mExecutor.whenComplete(
                 readIfChanged(),
                 (changed, e) -> {
-                    if (e == null) {
-                        changed.forEach(kv -> applyIfNewer(kv.value(), "store"));
-                        mValidatedAtMs = Math.max(mValidatedAtMs, startedAtMs);
+                    boolean applied = false;
+                    try {
+                        if (e == null) {
+                            changed.forEach(kv -> applyIfNewer(kv.value(), "store"));
+                            mValidatedAtMs = Math.max(mValidatedAtMs, startedAtMs);
+                            applied = true;
+                        }
+                    } finally {
+                        answered.complete(applied);
                     }
-                    answered.complete(e == null);
                 });
         return answered;
     }
@@ -226,19 +236,29 @@
         return keyValue.key().equals(mSchema.configKey());
     }
 
+    /**
+     * Asks the other daemons for newer configurations.
+     *
+     * @return whether any daemon responds and all responses have been applied; ends after an
+     *     unexpected error too, since API calls wait for it
+     */
     private CompletableFuture<Boolean> queryPeers() {
         CompletableFuture<Boolean> done = new CompletableFuture<>();
         long version = mConfig == null ? -1 : mConfig.version();
         mExecutor.whenComplete(
                 mPeers.fetchNewerConfigs(version),
                 (responses, e) -> {
-                    boolean anyResponse = e == null && !responses.isEmpty();
-                    if (anyResponse) {
-                        for (Optional<ByteString> newer : responses) {
-                            newer.ifPresent(serialized -> applyIfNewer(serialized, "peer"));
+                    boolean applied = false;
+                    try {
+                        if (e == null) {
+                            for (Optional<ByteString> newer : responses) {
+                                newer.ifPresent(serialized -> applyIfNewer(serialized, "peer"));
+                            }
+                            applied = !responses.isEmpty();
                         }
+                    } finally {
+                        done.complete(applied);
                     }
-                    done.complete(anyResponse);
                 });
         return done;
     }
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -82,6 +82,14 @@
         assertThat(version(revalidated)).isEqualTo(2);
     }
 
+    /** Guards against calls that wait for good after an unexpected error in a configuration. */
+    @Test
+    void revalidationEndsIfTheConfigurationCannotBeHandled() throws Exception {
+        CompletableFuture<Optional<ClusterConfig>> revalidated = mCache.revalidate();
+        mStore.answerImmediateWatch(List.of(FakeConfigStore.configOf("not a version")));
+        assertThat(revalidated.get(5, TimeUnit.SECONDS)).isEmpty();
+    }
+
     /** Guards against a call that is rejected although its key was confirmed just before it. */
     @Test
     void recentValidationDoesNotReplaceANewOne() throws Exception {
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/FakeConfigStore.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/FakeConfigStore.java
@@ -20,11 +20,11 @@
     private volatile boolean mReadsLost;
 
     static KeyValue configAt(long version) {
-        return new KeyValue(
-                VersionOnlySchema.CONFIG_KEY,
-                ByteString.copyFromUtf8(Long.toString(version)),
-                version,
-                0);
+        return configOf(Long.toString(version));
+    }
+
+    static KeyValue configOf(String text) {
+        return new KeyValue(VersionOnlySchema.CONFIG_KEY, ByteString.copyFromUtf8(text), 1, 0);
     }
 
     /** Makes all reads fail, as those of a silent store do after their time-out. */
