test: bound the waits for a revalidation

A variant of ConfigGate that judges all waiting calls at the end of a revalidation made two waits of the tests endless: no revalidation came that they waited for. They now fail after 5 s.

--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
@@ -173,9 +173,7 @@
             callServedFrom(9);
             var call = callServedUntil(1);
             answerRevalidation(1);
-            while (!mPlatformStore.hasImmediateWatch()) {
-                Thread.sleep(1);
-            }
+            mPlatformStore.awaitImmediateWatch();
             callServedFrom(9);
             answerRevalidation(1);
             assertThat(call).succeedsWithin(5, TimeUnit.SECONDS);
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/FakeConfigStore.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/FakeConfigStore.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.lycheeroad.scheduler.port.MetadataStore;
 import org.lycheeroad.scheduler.port.StoreException;
@@ -37,11 +38,18 @@
         return !mImmediateWatches.isEmpty();
     }
 
-    /** Waits for a watch without a wait time and completes it. */
-    synchronized void answerImmediateWatch(List<KeyValue> keyValues) throws InterruptedException {
+    /** Waits for a watch without a wait time. */
+    synchronized void awaitImmediateWatch() throws InterruptedException {
+        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         while (mImmediateWatches.isEmpty()) {
+            assertThat(System.nanoTime()).as("time of the watch").isLessThan(deadlineNanos);
             wait(10);
         }
+    }
+
+    /** Waits for a watch without a wait time and completes it. */
+    synchronized void answerImmediateWatch(List<KeyValue> keyValues) throws InterruptedException {
+        awaitImmediateWatch();
         List<Change> changes =
                 keyValues.stream().map(kv -> new Change(VersionOnlySchema.CONFIG_KEY, kv)).toList();
         mImmediateWatches.remove(0).complete(new WatchResponse(changes, 10));
