config: do not wait for silent peers once others have responded

If one of the daemons asked was frozen or cut off, each such check took its time-out of 700 ms.

Change: 200 ms after the first valid response, the query for configurations ends with those that have come. Daemons of the other region respond some 60 ms after the nearest.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/SchedulerNode.java
@@ -57,7 +57,8 @@
                         http,
                         settings.peerAddress(),
                         this::remoteOwnerAddress,
-                        settings.seedPeers());
+                        settings.seedPeers(),
+                        eventLoopGroup);
         mConfigCache =
                 new ConfigCache(store, mControlExecutor, schema, peers, clock, events, metrics);
         mOwnerService =
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/peer/PeerClient.java
@@ -9,8 +9,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -49,6 +53,9 @@
     /** About ten times the network latency between regions. */
     private static final long TIMEOUT_MS = 700;
 
+    /** For how long after a first response others are waited for: several network round trips. */
+    private static final long MAX_RESPONSE_SPREAD_MS = 200;
+
     /** The most seed peers that a write is relayed through, after the owner. */
     private static final int MAX_RELAYS = 2;
 
@@ -59,6 +66,7 @@
     private final HostPort mOwnAddress;
     private final Supplier<Optional<HostPort>> mRemoteOwner;
     private final List<HostPort> mSeedPeers;
+    private final ScheduledExecutorService mTimerService;
     private final AtomicInteger mNextSeed = new AtomicInteger();
 
     /**
@@ -73,11 +81,13 @@
             HttpClient http,
             HostPort ownAddress,
             Supplier<Optional<HostPort>> remoteOwner,
-            List<HostPort> seedPeers) {
+            List<HostPort> seedPeers,
+            ScheduledExecutorService timerService) {
         mHttp = http;
         mOwnAddress = ownAddress;
         mRemoteOwner = remoteOwner;
         mSeedPeers = List.copyOf(seedPeers);
+        mTimerService = timerService;
     }
 
     /** Fetches a job's state from the owner; empty if it does not respond or know the job. */
@@ -238,7 +248,8 @@
     }
 
     /**
-     * Fetches configurations newer than a version from the owner and the seed peers.
+     * Fetches configurations newer than a version from the owner and the seed peers. Peers that do
+     * not respond are not waited for much longer than the first response takes.
      *
      * @return one entry for each daemon that responded, empty if it has no newer configuration
      */
@@ -246,41 +257,47 @@
         Set<HostPort> peers = new LinkedHashSet<>(mSeedPeers);
         mRemoteOwner.get().ifPresent(peers::add);
         peers.remove(mOwnAddress);
-        List<Optional<ByteString>> configs = new ArrayList<>();
+        String path = CONFIG_PATH + "?" + AFTER_PARAMETER + "=" + version;
+        Queue<Optional<ByteString>> configs = new ConcurrentLinkedQueue<>();
+        CompletableFuture<List<Optional<ByteString>>> result = new CompletableFuture<>();
+        Runnable complete = () -> result.complete(List.copyOf(configs));
         List<CompletableFuture<?>> calls = new ArrayList<>();
         for (HostPort peer : peers) {
             calls.add(
-                    call(
-                                    peer,
-                                    "GET",
-                                    CONFIG_PATH + "?" + AFTER_PARAMETER + "=" + version,
-                                    EMPTY_BODY)
+                    call(peer, "GET", path, EMPTY_BODY)
                             .thenAccept(
                                     reply -> {
-                                        synchronized (configs) {
-                                            reply.response().ifPresent(r -> addConfig(r, configs));
+                                        var config =
+                                                reply.response().flatMap(PeerClient::parseConfig);
+                                        if (config.isPresent()) {
+                                            configs.add(config.get());
+                                            mTimerService.schedule(
+                                                    complete,
+                                                    MAX_RESPONSE_SPREAD_MS,
+                                                    TimeUnit.MILLISECONDS);
                                         }
                                     }));
         }
-        return CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new))
-                .thenApply(
-                        unused -> {
-                            synchronized (configs) {
-                                return List.copyOf(configs);
-                            }
-                        });
+        CompletableFuture.allOf(calls.toArray(CompletableFuture[]::new)).thenRun(complete);
+        return result;
     }
 
-    private static void addConfig(
-            BufferedHttpResponse response, List<Optional<ByteString>> configs) {
+    /**
+     * Returns the newer configuration in a response, which is empty if the peer has none; returns
+     * empty if the response is not valid.
+     */
+    private static Optional<Optional<ByteString>> parseConfig(BufferedHttpResponse response) {
         if (response.status() == NO_CONTENT) {
-            configs.add(Optional.empty());
-        } else if (response.status() == OK) {
-            try {
-                configs.add(Optional.of(Gzip.decompress(response.body())));
-            } catch (IOException e) {
-                LOG.warn("Cannot decompress the configuration that a peer sent", e);
-            }
+            return Optional.of(Optional.empty());
+        }
+        if (response.status() != OK) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(Optional.of(Gzip.decompress(response.body())));
+        } catch (IOException e) {
+            LOG.warn("Cannot decompress the configuration that a peer sent", e);
+            return Optional.empty();
         }
     }
 
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigCacheTest.java
@@ -47,7 +47,7 @@
                         new HealthTrackingStore(mStore, mExecutor, clock, events),
                         mExecutor,
                         new VersionOnlySchema(),
-                        new PeerClient(null, unusedAddress, Optional::empty, List.of()),
+                        new PeerClient(null, unusedAddress, Optional::empty, List.of(), mTimers),
                         clock,
                         events,
                         new NodeMetrics());
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
@@ -51,7 +51,7 @@
                         mStore,
                         mExecutor,
                         new VersionOnlySchema(),
-                        new PeerClient(null, unusedAddress, Optional::empty, List.of()),
+                        new PeerClient(null, unusedAddress, Optional::empty, List.of(), mTimers),
                         Clock.system(),
                         events,
                         metrics);
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -85,7 +85,7 @@
                         new HealthTrackingStore(mStore, mExecutor, mClock, events),
                         mExecutor,
                         new FakeSchema(),
-                        new PeerClient(null, ADDRESS, Optional::empty, List.of()),
+                        new PeerClient(null, ADDRESS, Optional::empty, List.of(), mTimers),
                         mClock,
                         events,
                         new NodeMetrics());
