--- a/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigGate.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/config/ConfigGate.java
@@ -90,6 +90,7 @@
         synchronized (this) {
             for (int i = 0; i < calls; i++) {
                 WaitingCall call = mWaiting.remove();
+                // Without an answer, calls that only waited behind others may still be served.
                 judged.put(call, newest.or(() -> cachedFor(call)));
             }
             while (!mWaiting.isEmpty() && cachedFor(mWaiting.element()).isPresent()) {
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/ConfigGateTest.java
@@ -136,6 +136,19 @@
             var later = callServedUntil(1);
             assertThat(versions(List.of(earlier, later), 2)).containsExactly(2L, 2L);
         }
+
+        /** Guards against refusals of calls that only waited behind others. */
+        @Test
+        void withoutAnAnswerCallsAreServedByTheCachedVersionIfItSuffices() throws Exception {
+            callServedFrom(2);
+            var unknown = callServedFrom(2);
+            var known = callServedUntil(1);
+            mPlatformStore.loseImmediateWatch();
+            mPlatformStore.loseImmediateWatch();
+            assertThat(known).succeedsWithin(5, TimeUnit.SECONDS);
+            assertThat(versionOf(known.join())).isEqualTo(1);
+            assertThat(unknown.join()).isEmpty();
+        }
     }
 
     @Nested
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/config/FakeConfigStore.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/config/FakeConfigStore.java
@@ -47,6 +47,12 @@
         }
     }
 
+    /** Waits for a watch without a wait time and lets it fail. */
+    synchronized void loseImmediateWatch() throws InterruptedException {
+        awaitImmediateWatch();
+        mImmediateWatches.remove(0).completeExceptionally(lostCall());
+    }
+
     /** Waits for a watch without a wait time and completes it. */
     synchronized void answerImmediateWatch(List<KeyValue> keyValues) throws InterruptedException {
         awaitImmediateWatch();
@@ -78,8 +84,7 @@
     public CompletableFuture<Optional<KeyValue>> read(String key) {
         mReads.incrementAndGet();
         if (mReadsLost) {
-            return CompletableFuture.failedFuture(
-                    new StoreException(StoreException.Kind.UNKNOWN, "no response", null));
+            return CompletableFuture.failedFuture(lostCall());
         }
         return CompletableFuture.completedFuture(Optional.of(configAt(1)));
     }
@@ -103,4 +108,8 @@
     public CompletableFuture<Boolean> revokeLease(long leaseId) {
         throw new UnsupportedOperationException("leases are not used in this test");
     }
+
+    private static StoreException lostCall() {
+        return new StoreException(StoreException.Kind.UNKNOWN, "no response", null);
+    }
 }
