log: record runs that are taken as over without a reported end

The logs show that a worker's leases have expired, but neither which runs were taken as over, for which reason, nor whether the leases had expired on the worker too, so they cannot tell a lease that lasts too long from a run dropped too early.

Event 319 names each run that is taken as over without a reported end, and lycheeroad_dropped_runs counts them by cause. Event 309 compares the expiry of the leases on the owner's and the worker's clock and shows how far the worker's clock ran ahead or behind since it was last read; event 308 shows the age of that reading. No logic changes.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
@@ -28,6 +28,7 @@
 
     public ClusterConfig config = new ClusterConfig(0, List.of(), List.of());
     private List<JobAction> mActions = new ArrayList<>();
+    private List<DroppedRun> mDroppedRuns = new ArrayList<>();
 
     ClusterState(DurationEstimator durations) {
         this.durationEstimator = durations;
@@ -64,6 +65,13 @@
         return actions;
     }
 
+    /** Returns the runs that were dropped since the last call. */
+    List<DroppedRun> takeDroppedRuns() {
+        List<DroppedRun> dropped = mDroppedRuns;
+        mDroppedRuns = new ArrayList<>();
+        return dropped;
+    }
+
     /**
      * Returns the expected time until a run ends; 0 for an overdue one. A gang ends with its
      * slowest member.
@@ -168,6 +176,19 @@
         }
     }
 
+    /** Removes a run that is taken as over although its worker has not reported its end. */
+    void dropRun(Run run, DroppedRun.Cause cause, long nowMs) {
+        mDroppedRuns.add(
+                new DroppedRun(
+                        run.ref,
+                        run.worker.id,
+                        cause,
+                        run.phase.name(),
+                        run.firstStartSentAtMs == 0 ? -1 : nowMs - run.lastStartSentAtMs,
+                        run.hasUnansweredStart));
+        removeRun(run);
+    }
+
     /** Stops the remaining runs of a gang's attempt after one of its runs has ended early. */
     void stopGang(StepInstance step, int attempt, long nowMs) {
         for (Task member : step.tasks) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -263,6 +263,11 @@
         return mTriage.takeGivenWay();
     }
 
+    /** Returns the runs that were taken as over without a reported end since the last call. */
+    public List<DroppedRun> takeDroppedRuns() {
+        return mState.takeDroppedRuns();
+    }
+
     /** Returns the requests to placement policies that were issued since the last call. */
     public List<AdviceRequest> takeAdviceRequests() {
         return mAdviceRequester.takeRequests();
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -104,7 +104,7 @@
         if (report.listsAllEndedRuns()) {
             for (Run run : new ArrayList<>(worker.runs.values())) {
                 if (!reported.contains(run.ref) && isOverIfAbsent(run, requestedAtMs)) {
-                    onLost(run, nowMs);
+                    onLost(run, DroppedRun.Cause.NOT_REPORTED, nowMs);
                 }
             }
         }
@@ -136,7 +136,7 @@
                 // The new incarnation must confirm the stop too before it refuses a late start.
                 run.confirmedAtMs = Long.MAX_VALUE;
             } else if (report.listsAllEndedRuns()) {
-                onLost(run, nowMs);
+                onLost(run, DroppedRun.Cause.WORKER_RESTARTED, nowMs);
             }
         }
     }
@@ -144,7 +144,7 @@
     /** Removes all runs of a worker, whose leases have expired. */
     void onLeaseExpired(Worker worker, long nowMs) {
         for (Run run : new ArrayList<>(worker.runs.values())) {
-            onLost(run, nowMs);
+            onLost(run, DroppedRun.Cause.LEASE_EXPIRED, nowMs);
         }
     }
 
@@ -212,7 +212,7 @@
             run.confirmedAtMs = Math.min(run.confirmedAtMs, nowMs);
         }
         if (answer == OrderAnswer.REPLACED) {
-            onLost(run, nowMs);
+            onLost(run, DroppedRun.Cause.WORKER_REPLACED, nowMs);
         }
     }
 
@@ -399,8 +399,8 @@
     }
 
     /** Removes a run that is gone without a reported end. */
-    private void onLost(Run run, long nowMs) {
-        mState.removeRun(run);
+    private void onLost(Run run, DroppedRun.Cause cause, long nowMs) {
+        mState.dropRun(run, cause, nowMs);
         stopGangOf(run, nowMs);
     }
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -49,6 +49,15 @@
                 .increment();
     }
 
+    /**
+     * Counts a run that is taken as over without a reported end.
+     *
+     * @param cause the name of the cause
+     */
+    public void countDroppedRun(String cause) {
+        mRegistry.counter("lycheeroad_dropped_runs", "cause", cause).increment();
+    }
+
     /** Counts a value in the store that cannot be parsed and is skipped. */
     public void countUnreadableRecord() {
         mUnreadableRecords.increment();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.lycheeroad.coordination.jobs.AdviceRequest;
+import org.lycheeroad.coordination.jobs.DroppedRun;
 import org.lycheeroad.coordination.jobs.GivenWay;
 import org.lycheeroad.coordination.jobs.JobAction;
 import org.lycheeroad.coordination.jobs.JobScheduler;
@@ -241,6 +242,7 @@
         sendOrders();
         mScheduler.takeAdviceRequests().forEach(this::requestAdvice);
         mScheduler.takeGivenWay().forEach(this::recordGivenWay);
+        mScheduler.takeDroppedRuns().forEach(this::recordDroppedRun);
         if (mScheduler.hasUrgentUnsavedProgress()) {
             save();
         } else if (!mSaveTimerSet) {
@@ -361,6 +363,25 @@
                         + step.lastUsefulEndInMs());
     }
 
+    private void recordDroppedRun(DroppedRun dropped) {
+        mMetrics.countDroppedRun(dropped.cause().name());
+        mEvents.record(
+                EventCode.RUN_DROPPED,
+                dropped.run().task().job().value(),
+                "run="
+                        + dropped.run()
+                        + " worker="
+                        + dropped.worker()
+                        + " cause="
+                        + dropped.cause()
+                        + " phase="
+                        + dropped.phase()
+                        + " start_sent_ms_ago="
+                        + dropped.startSentMsAgo()
+                        + " unanswered_start="
+                        + dropped.hasUnansweredStart());
+    }
+
     private void applyNewestConfig() {
         mConfigCache
                 .current()
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -88,6 +88,15 @@
 
     private boolean mWorkerClockKnown;
 
+    /** When a reply last showed the worker's clock. */
+    private long mWorkerClockReadAtMs;
+
+    /** The latest expiry of a granted lease, on the worker's clock; 0 if none was granted. */
+    private long mLeaseUntilOnWorkerMs;
+
+    /** The start time of the worker incarnation that replied last; 0 before a reply. */
+    private long mRepliedIncarnationMs;
+
     /** The highest number of an ended run logged for the incarnation below. */
     private long mLastLoggedEndNumber;
 
@@ -130,6 +139,7 @@
     void update(WorkerStatus entry) {
         if (entry.incarnationStartMs() != mEntry.incarnationStartMs()) {
             mWorkerClockKnown = false;
+            mLeaseUntilOnWorkerMs = 0;
         }
         // A repeated read returns the same entry again, whose remaining time has partly passed.
         if (!entry.equals(mEntry)) {
@@ -169,7 +179,15 @@
     void checkLeaseExpiry() {
         long nowMs = mClock.monotonicMs();
         if (mUnreachable && nowMs > mLeasesExpiredAtMs && mScheduler.mayHaveRuns(mEntry.id())) {
-            mEvents.record(EventCode.WORKER_LAPSED, "", "worker=" + mEntry.id());
+            mEvents.record(
+                    EventCode.WORKER_LAPSED,
+                    "",
+                    "worker="
+                            + mEntry.id()
+                            + " born="
+                            + mEntry.incarnationStartMs()
+                            + " clock_age_ms="
+                            + (mWorkerClockKnown ? nowMs - mWorkerClockReadAtMs : -1));
             mScheduler.onLeaseExpired(mEntry.id(), nowMs);
         }
     }
@@ -294,14 +312,16 @@
         OrderAnswer answer = reply == null ? OrderAnswer.UNKNOWN : reply.answer();
         if (answer == OrderAnswer.ACCEPTED) {
             if (mUnreachable) {
-                mEvents.record(EventCode.WORKER_HEARD, "", "worker=" + mEntry.id());
+                recordHeard(reply.runs(), nowMs);
             }
+            mRepliedIncarnationMs = reply.runs().incarnationStartMs();
             mUnreachable = false;
             mLastResponseAtMs = nowMs;
             mHasUnacknowledgedEnds = !reply.runs().endedRuns().isEmpty();
             if (bornMs == mEntry.incarnationStartMs()) {
                 mWorkerClockOffsetMs = reply.runs().clockMs() - nowMs;
                 mWorkerClockKnown = true;
+                mWorkerClockReadAtMs = nowMs;
             }
             logEndedRuns(reply.runs());
             mScheduler.onRunReport(mEntry.id(), reply.runs(), polledAtMs, nowMs);
@@ -315,6 +335,28 @@
         pollIfDue();
     }
 
+    /** Records the worker's clock beside the owner's, which shows whether a lease lasted longer. */
+    private void recordHeard(WorkerRuns runs, long nowMs) {
+        boolean sameIncarnation = runs.incarnationStartMs() == mRepliedIncarnationMs;
+        mEvents.record(
+                EventCode.WORKER_HEARD,
+                "",
+                "worker="
+                        + mEntry.id()
+                        + " born="
+                        + runs.incarnationStartMs()
+                        + " restarted="
+                        + !sameIncarnation
+                        + " expired_ms_ago="
+                        + (nowMs - mLeasesExpiredAtMs)
+                        + " lease_over_ms="
+                        + (sameIncarnation ? runs.clockMs() - mLeaseUntilOnWorkerMs : 0)
+                        + " clock_age_ms="
+                        + (sameIncarnation ? nowMs - mWorkerClockReadAtMs : 0)
+                        + " clock_drift_ms="
+                        + (sameIncarnation ? runs.clockMs() - nowMs - mWorkerClockOffsetMs : 0));
+    }
+
     private void recordSpeedChange() {
         boolean slow = mScheduler.isSlow(mEntry.id());
         if (slow != mSlow) {
@@ -384,7 +426,9 @@
     }
 
     private long leaseExpiryOnWorkerClockMs(long nowMs) {
-        return nowMs + mWorkerClockOffsetMs + leaseMs();
+        long expiryMs = nowMs + mWorkerClockOffsetMs + leaseMs();
+        mLeaseUntilOnWorkerMs = Math.max(mLeaseUntilOnWorkerMs, expiryMs);
+        return expiryMs;
     }
 
     /** Returns the latest expiry of a lease granted now; one granted earlier may last longer. */
