--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -323,6 +323,28 @@
             assertThat(workersOf(starts(mFixture.runRound()))).containsExactly("w2");
         }
 
+        /** Guards against runs that are started again without a trace of why the first was over. */
+        @Test
+        void runThatIsTakenAsOverIsNamed() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.submit("j1", BULK, tasks(1, 1, 1_000));
+            JobAction.Start start = starts(mFixture.runRound()).get(0);
+            mScheduler.onStartAnswer(
+                    start.worker(), start.run(), OrderAnswer.UNKNOWN, mFixture.nowMs);
+            mFixture.nowMs += 7_000;
+            mScheduler.onLeaseExpired(new WorkerId("w1"), mFixture.nowMs);
+            assertThat(mScheduler.takeDroppedRuns())
+                    .containsExactly(
+                            new DroppedRun(
+                                    start.run(),
+                                    start.worker(),
+                                    DroppedRun.Cause.LEASE_EXPIRED,
+                                    "STARTING",
+                                    7_000,
+                                    true));
+            assertThat(mScheduler.takeDroppedRuns()).isEmpty();
+        }
+
         /** Guards against a second run while a late start may still arrive. */
         @Test
         void unansweredStartIsRepeatedAndThenStopped() {
