--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -211,7 +211,9 @@
                         + " worker="
                         + mEntry.id()
                         + " epoch="
-                        + mTerm.epoch());
+                        + mTerm.epoch()
+                        + " clock_age_ms="
+                        + (sentAtMs - mWorkerClockReadAtMs));
         mExecutor.whenComplete(
                 mGateway.start(
                         endpoint(),
