test: leases of a worker whose clock was read long ago

Workers without runs are not polled, so the owner may compute the end of a lease from a reading of the worker's clock that is many seconds old. A worker's clock may be 2% slow, so the lease can last there after the owner has taken it as expired.

Two tests start a run on a worker that was idle for 60 s, with a lease of 6 s, let the polls fail and compare the end of the lease, on a clock that is 2% slow, with the time at which the session reports the leases as expired.

--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -5,13 +5,16 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lycheeroad.coordination.jobs.JobAction;
 import org.lycheeroad.coordination.jobs.JobScheduler;
 import org.lycheeroad.coordination.jobs.OrderAnswer;
 import org.lycheeroad.coordination.jobs.SchedulerSettings;
@@ -20,18 +23,26 @@
 import org.lycheeroad.scheduler.log.EventRecorder;
 import org.lycheeroad.scheduler.log.NodeMetrics;
 import org.lycheeroad.scheduler.port.WorkerGateway;
+import org.lycheeroad.state.event.EventCode;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.id.FailureDomainId;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.RackId;
 import org.lycheeroad.state.id.RegionId;
+import org.lycheeroad.state.id.TeamId;
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.time.HybridClock;
 import org.lycheeroad.state.topology.HostPort;
+import org.lycheeroad.state.work.ClusterConfig;
+import org.lycheeroad.state.work.JobPlan;
+import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.QueueConfig;
+import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.Resources;
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.ServiceName;
+import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.WorkerRuns;
 import org.lycheeroad.state.work.WorkerRuns.EndedRun;
@@ -41,15 +52,21 @@
 class WorkerSessionTest {
     private static final HostPort ADDRESS = new HostPort("127.0.0.1", 1);
     private static final long BORN_MS = 1_000;
+    private static final ServiceName SERVICE = new ServiceName("service");
     private static final RunRef RUN = new RunRef(new TaskRef(new JobId("j1"), 0, 0, 0), 1);
     private static final List<EndedRun> ONE_ENDED_RUN =
             List.of(new EndedRun(1, RUN, RunOutcome.DONE, ""));
 
+    /** The worker's clock in all of its replies. */
+    private static final long WORKER_CLOCK_MS = 1;
+
     /** How far the clock advances between two checks for a poll. */
     private static final long STEP_MS = 50;
 
     private static final int MAX_STEPS = 500;
 
+    private static final long TIMEOUT_MS = 5_000;
+
     /** Several times the time between two polls of the session. */
     private static final int NO_POLL_STEPS = 80;
 
@@ -57,12 +74,13 @@
     private final SerialExecutor mExecutor = new SerialExecutor("test", mTimers);
     private final ScriptedGateway mGateway = new ScriptedGateway();
     private final ManualClock mClock = new ManualClock();
+    private final EventLog mEvents = new EventLog(new EntryId("vm"), new HybridClock(), 16);
+    private final JobScheduler mScheduler =
+            new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000, false));
     private WorkerSession mSession;
 
     @BeforeEach
     void setUp() {
-        JobScheduler scheduler =
-                new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000, false));
         Term term = new Term(1, 10, 1, mClock);
         term.extendLease(mClock.monotonicMs() + 100_000);
         WorkerStatus entry =
@@ -70,23 +88,23 @@
                         new WorkerId("w1"),
                         BORN_MS,
                         ADDRESS,
-                        new ServiceName("service"),
+                        SERVICE,
                         false,
                         0,
                         new Resources(1_000, 1_000, 1),
                         Set.of(),
                         new RackId("r1"));
-        scheduler.onWorkerEntry(entry, mClock.monotonicMs());
+        mScheduler.onWorkerEntry(entry, mClock.monotonicMs());
         mSession =
                 new WorkerSession(
                         entry,
                         mGateway,
                         mExecutor,
-                        scheduler,
+                        mScheduler,
                         term,
                         settings(),
                         mClock,
-                        new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16)),
+                        new EventRecorder(mEvents),
                         new NodeMetrics(),
                         () -> {});
         mExecutor.start();
@@ -124,6 +142,96 @@
         assertThat(mGateway.receivesNoPoll()).isTrue();
     }
 
+    /** The worker's clock is slow, and was read for the last time a minute ago. */
+    @Nested
+    class LeaseOutlivesTheOwnersBound {
+        private static final QueueName QUEUE = new QueueName("queue");
+
+        /** The slowest clock that the platform allows. */
+        private static final double SLOW_CLOCK_RATE = 0.98;
+
+        private static final long IDLE_MS = 60_000;
+
+        private long mClockReadAtMs;
+
+        @BeforeEach
+        void startARunAfterAnIdleTime() throws Exception {
+            mGateway.answerNextPoll(List.of());
+            runOnExecutor(
+                    () -> {
+                        mClockReadAtMs = mClock.monotonicMs();
+                        mClock.advance(IDLE_MS);
+                        long nowMs = mClock.monotonicMs();
+                        submitJob();
+                        mScheduler.runDecisionRound(nowMs, mClock.wallMs());
+                        mScheduler
+                                .takeUnsavedProgress()
+                                .forEach(p -> mScheduler.onSaved(p.job(), p.version(), nowMs));
+                        mScheduler
+                                .takeActions()
+                                .forEach(action -> mSession.start((JobAction.Start) action));
+                        mSession.pollIfDue();
+                    });
+        }
+
+        /** Guards against a start whose lease ends after the time at which its run is given up. */
+        @Test
+        void ofAStart() throws Exception {
+            long leaseUntilMs = mGateway.mStartLeases.remove();
+            mGateway.failNextPoll();
+            assertExpiresInTime(leaseUntilMs);
+        }
+
+        /** Guards against a poll that extends the lease beyond the time of the next start. */
+        @Test
+        void ofAPoll() throws Exception {
+            assertExpiresInTime(mGateway.failNextPoll().leaseUntilMs());
+        }
+
+        /** A worker may take a lease up to its end, however late the order arrives. */
+        private void assertExpiresInTime(long leaseUntilMs) throws InterruptedException {
+            assertThat(leaseUntilMs).as("lease").isGreaterThan(WORKER_CLOCK_MS + IDLE_MS);
+            assertThat(leaseUntilMs).isLessThanOrEqualTo(slowWorkerClockMs(awaitLeaseExpiry()));
+        }
+
+        private void submitJob() {
+            QueueConfig queue =
+                    new QueueConfig(QUEUE, "host", "/", SERVICE, 0, 1, 1.5, 600, false, null);
+            mScheduler.onConfig(new ClusterConfig(1, List.of(queue), List.of()));
+            StepPlan step = StepPlan.unconstrained(1, Resources.NONE, 1_000);
+            JobPlan plan = new JobPlan("spec", List.of(step), 0, 0, 0);
+            JobRecord job = new JobRecord(QUEUE, new TeamId("team"), plan, 0);
+            mScheduler.onJob(new JobId("j1"), job, null, 0, mClock.monotonicMs());
+        }
+
+        private long slowWorkerClockMs(long atMs) {
+            return WORKER_CLOCK_MS + (long) ((atMs - mClockReadAtMs) * SLOW_CLOCK_RATE);
+        }
+
+        /** Returns the time at which the session takes the worker's leases as expired. */
+        private long awaitLeaseExpiry() throws InterruptedException {
+            for (int i = 0; i < MAX_STEPS && !isLeaseExpired(); i++) {
+                mClock.advance(STEP_MS);
+                runOnExecutor(mSession::checkLeaseExpiry);
+            }
+            assertThat(isLeaseExpired()).isTrue();
+            return mClock.monotonicMs();
+        }
+
+        private boolean isLeaseExpired() {
+            return !mEvents.page(0, event -> event.number() == EventCode.WORKER_LAPSED.number())
+                    .events()
+                    .isEmpty();
+        }
+    }
+
+    private void runOnExecutor(Runnable action) throws InterruptedException {
+        CountDownLatch ran = new CountDownLatch(1);
+        mExecutor.execute(action);
+        mExecutor.execute(ran::countDown);
+        assertThat(ran.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+    }
+
     private static NodeSettings settings() {
         return new NodeSettings(
                 new EntryId("vm"),
@@ -143,18 +251,24 @@
     }
 
     /** A poll that waits for its reply. */
-    private record Poll(long acknowledgedEnd, CompletableFuture<WorkerGateway.PollReply> reply) {}
+    private record Poll(
+            long acknowledgedEnd,
+            long leaseUntilMs,
+            CompletableFuture<WorkerGateway.PollReply> reply) {}
 
     /** A worker whose replies are given by the test. */
     private final class ScriptedGateway implements WorkerGateway {
         private final LinkedBlockingQueue<Poll> mPolls = new LinkedBlockingQueue<>();
 
+        /** The ends of the leases that came with starts; starts get no answer. */
+        private final LinkedBlockingQueue<Long> mStartLeases = new LinkedBlockingQueue<>();
+
         /** Waits for a poll and replies with a list of ended runs. */
         Poll answerNextPoll(List<EndedRun> endedRuns) throws InterruptedException {
             return replyToNextPoll(
                     new PollReply(
                             OrderAnswer.ACCEPTED,
-                            new WorkerRuns(1, BORN_MS, List.of(), endedRuns, true)));
+                            new WorkerRuns(WORKER_CLOCK_MS, BORN_MS, List.of(), endedRuns, true)));
         }
 
         /** Waits for a poll and reports that no reply came. */
@@ -181,6 +295,8 @@
         private Poll replyToNextPoll(PollReply reply) throws InterruptedException {
             Poll poll = poll(MAX_STEPS);
             assertThat(poll).as("poll sent by the session").isNotNull();
+            // The session awaits the reply only once it has returned from the call of the gateway.
+            runOnExecutor(() -> {});
             poll.reply().complete(reply);
             return poll;
         }
@@ -188,7 +304,7 @@
         @Override
         public CompletableFuture<PollReply> poll(
                 WorkerEndpoint endpoint, long acknowledgedEnd, long leaseUntilMs, long waitMs) {
-            Poll poll = new Poll(acknowledgedEnd, new CompletableFuture<>());
+            Poll poll = new Poll(acknowledgedEnd, leaseUntilMs, new CompletableFuture<>());
             mPolls.add(poll);
             return poll.reply();
         }
@@ -201,7 +317,8 @@
                 String checkpoint,
                 String ticket,
                 long leaseUntilMs) {
-            throw new UnsupportedOperationException("start is not used in this test");
+            mStartLeases.add(leaseUntilMs);
+            return new CompletableFuture<>();
         }
 
         @Override
