owner: shorten leases by what a worker's clock may have fallen behind

This mends one way in which that can happen; that it was the one in the reported run is not shown by this commit.

Cause: workers without runs are not polled, so the owner's reading of a worker's clock can be many seconds old. Orders carried the end of the lease as now + offset + lease, with the offset of that reading. A worker's clock that is 2% slow has fallen behind by 2% of the age meanwhile, so the lease lasted longer there by as much, and the owner's bound, 1.02 * lease + 400 ms after sending, did not cover it. An order that arrived at once was shortened to the longest lease, counted from its arrival, which hid the fault; one that arrived late was not.

Change: the end that is sent is earlier by 2% of the reading's age, rounded up. No bound is longer, and a lease from a fresh reading is as long as before.

Why the bound holds whenever the order arrives: let the reply that showed c be received at R, and let the worker have shown c at t <= R. An order with lease L sent at S carries

E = c + (S - R) + L - ceil(0.02 * (S - R)) <= c + 0.98 * (S - R) + L

The worker never holds a lease beyond E. Its clock runs at a rate of at least 0.98, so it shows E at the latest at

t + (E - c) / 0.98 <= t + (S - R) + L / 0.98 <= S + L / 0.98

That is 1.02 * L + 0.00041 * L after S, which is within 1.02 * L + 400 ms for every L up to 980 s, less the rounding of three clock readings. The arrival does not occur in it. So SchedulerSettings.orderExpiryMs, which is the same bound for the longest lease, holds too, if a start that arrives after E is refused (open question in docs/platform.md). It assumes that the order reaches the incarnation whose clock was read.

Draining workers: the bound is computed before the end that is sent, and their lease only shrinks between the two readings of the clock, so the calculation holds with the lease of the bound. No lease is left for a reading older than 50 times the lease (300 s for a lease of 6 s): such a start is refused as late by a worker whose clock is sound, and by a slow one held for less than the bound.

Before: in WorkerSessionTest.LeaseOutlivesTheOwnersBound, after 60 s without a poll, a lease of 6 s ended at 66,001 ms on the worker's clock, which showed 65,220 ms when the leases were taken as expired; the same for a start and a poll. After: both tests pass, as do the others of WorkerSessionTest.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -41,7 +41,7 @@
     private static final long IDLE_RETRY_INTERVAL_MS = 1_500;
 
     /** The monotonic clocks of workers may be up to 2% slow. */
-    private static final double MAX_CLOCK_SLOWNESS_FACTOR = 1.02;
+    private static final double MAX_CLOCK_SLOWNESS = 0.02;
 
     /**
      * How long the lease on a draining worker lasts beyond its earliest departure; long enough for
@@ -50,7 +50,10 @@
      */
     private static final long DRAINING_LEASE_MS = 2_500;
 
-    /** Covers the network latency to the worker and the rounding of clocks. */
+    /**
+     * Covers the rounding of clocks, and that a lease on a clock that is 2% slow lasts for slightly
+     * more than 2% longer. The latency of orders needs no margin: they carry the end of the lease.
+     */
     private static final long LEASE_EXPIRY_MARGIN_MS = 400;
 
     private final WorkerGateway mGateway;
@@ -427,8 +430,15 @@
         return new WorkerEndpoint(mEntry.id(), mEntry.address(), mTerm.epoch());
     }
 
+    /**
+     * Returns the end of a lease granted now, on the worker's clock.
+     *
+     * <p>The clock may have fallen behind since it was read. The end is earlier by the most that it
+     * may have, so that the lease has expired by {@link #latestLeaseExpiryMs(long)}.
+     */
     private long leaseExpiryOnWorkerClockMs(long nowMs) {
-        long expiryMs = nowMs + mWorkerClockOffsetMs + leaseMs();
+        long maxLagMs = (long) Math.ceil((nowMs - mWorkerClockReadAtMs) * MAX_CLOCK_SLOWNESS);
+        long expiryMs = nowMs + mWorkerClockOffsetMs - maxLagMs + leaseMs();
         mLeaseUntilOnWorkerMs = Math.max(mLeaseUntilOnWorkerMs, expiryMs);
         return expiryMs;
     }
@@ -461,6 +471,6 @@
 
     /** Returns when a lease granted now has expired even if the worker's clock is slow. */
     static long latestLeaseExpiryMs(long nowMs, long leaseMs) {
-        return nowMs + Math.round(leaseMs * MAX_CLOCK_SLOWNESS_FACTOR) + LEASE_EXPIRY_MARGIN_MS;
+        return nowMs + Math.round(leaseMs * (1 + MAX_CLOCK_SLOWNESS)) + LEASE_EXPIRY_MARGIN_MS;
     }
 }
