owner: read the clock of a worker that was idle without waiting

A lease that is computed from an old reading of the worker's clock is short since the last commit, by 2% of the reading's age: 1.2 s after one minute, all of a lease of 6 s after five. A run that gets such a lease could lapse before the lease is extended, and a start without any is refused as late, so that a worker that was idle for minutes would get its first run with a delay.

Cause: a worker is polled again as soon as a run is assigned to it, while the run's record is being saved. But that poll let the worker wait for up to 1 s for a run to end, so the reading was still the old one when the start was sent.

Change: a poll lets the worker wait only if its clock was read within the last 1.5 s, as it is while it has runs. So the reply to the first poll after an idle time normally comes before the start is sent. This costs one poll more for each worker that has been idle for 1.5 s when a run is assigned to it. A start that is sent before the reply has a short lease, which is safe.

Before: WorkerSessionTest.firstPollDoesNotWait failed with a wait of 1000 ms in the first poll after 60 s. After: it passes, as do the others of WorkerSessionTest and OwnerSessionTest. How often starts are still sent before the reply was not measured.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -285,6 +285,9 @@
                 mScheduler.hasServingAndBestEffortRuns(mEntry.id())
                         ? INTERFERENCE_POLL_WAIT_MS
                         : POLL_WAIT_MS;
+        // The reply of a worker that was idle must show its clock soon, since leases that are
+        // computed from an old reading are short.
+        boolean mayWait = extendLease && nowMs - mWorkerClockReadAtMs < RECENT_RESPONSE_MS;
         mPollInFlight = true;
         long bornMs = mEntry.incarnationStartMs();
         mMetrics.countWorkerPoll();
@@ -293,7 +296,7 @@
                         endpoint(),
                         acknowledgedEndNumber(nowMs),
                         extendLease ? leaseExpiryOnWorkerClockMs(nowMs) : 0,
-                        extendLease ? waitMs : 0),
+                        mayWait ? waitMs : 0),
                 (reply, e) -> onPollReply(reply, nowMs, bornMs));
     }
 
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -188,6 +188,13 @@
             assertExpiresInTime(mGateway.failNextPoll().leaseUntilMs());
         }
 
+        /** Guards against starts with short leases while the poll that reads the clock waits. */
+        @Test
+        void firstPollDoesNotWait() throws Exception {
+            assertThat(mGateway.answerNextPoll(List.of()).waitMs()).isZero();
+            assertThat(mGateway.answerNextPoll(List.of()).waitMs()).isPositive();
+        }
+
         /** A worker may take a lease up to its end, however late the order arrives. */
         private void assertExpiresInTime(long leaseUntilMs) throws InterruptedException {
             assertThat(leaseUntilMs).as("lease").isGreaterThan(WORKER_CLOCK_MS + IDLE_MS);
@@ -254,6 +261,7 @@
     private record Poll(
             long acknowledgedEnd,
             long leaseUntilMs,
+            long waitMs,
             CompletableFuture<WorkerGateway.PollReply> reply) {}
 
     /** A worker whose replies are given by the test. */
@@ -304,7 +312,7 @@
         @Override
         public CompletableFuture<PollReply> poll(
                 WorkerEndpoint endpoint, long acknowledgedEnd, long leaseUntilMs, long waitMs) {
-            Poll poll = new Poll(acknowledgedEnd, leaseUntilMs, new CompletableFuture<>());
+            Poll poll = new Poll(acknowledgedEnd, leaseUntilMs, waitMs, new CompletableFuture<>());
             mPolls.add(poll);
             return poll.reply();
         }
