runs: stop unanswered starts on a restarted worker before the run is over

No log ties it to this path yet; it was found by reading.

Cause: a start without an answer may still be carried out, and a worker that has restarted under its id carries out what was sent to its earlier incarnation. At the first report of the new incarnation a run that the earlier one had started, by a second copy of the order, was dropped and its task started elsewhere, while the first copy could start it again. A run that was being stopped was dropped likewise, or because of the expiry time of its start, which is a time on the earlier incarnation's clock.

Change: a run of which a start was not answered is stopped on the new incarnation. Runs whose starts were all answered are dropped at the first report, as before.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -21,6 +21,9 @@
     /** The time after which a stop without effect is repeated; stops take about 200-400 ms. */
     private static final long STOP_RETRY_MS = 700;
 
+    /** The longest time after which a call without an answer can still be carried out. */
+    static final long MAX_CALL_DELAY_MS = 15_000;
+
     /** The first quarantine of a worker on which several steps failed; it doubles each time. */
     private static final long FIRST_QUARANTINE_MS = 3_000;
 
@@ -129,18 +132,33 @@
             if (reported.contains(run.ref)) {
                 run.workerIncarnation = report.incarnationStartMs();
                 mState.markUnsaved(run.task.step.job);
-            } else if (run.phase == Phase.STARTING) {
-                mState.stopRun(run, StopReason.NO_ANSWER, nowMs);
-                stopGangOf(run, nowMs);
-            } else if (run.phase == Phase.STOPPING && run.startedAtMs == Long.MAX_VALUE) {
-                // The new incarnation must confirm the stop too before it refuses a late start.
+            } else if (mayStillStart(run)) {
+                // The new incarnation must confirm the stop before it refuses a late start.
+                run.startedAtMs = Long.MAX_VALUE;
                 run.confirmedAtMs = Long.MAX_VALUE;
+                if (run.phase == Phase.STOPPING) {
+                    mState.sendStop(run, nowMs);
+                } else {
+                    mState.stopRun(run, StopReason.NO_ANSWER, nowMs);
+                    stopGangOf(run, nowMs);
+                }
             } else if (report.listsAllEndedRuns()) {
                 onLost(run, DroppedRun.Cause.WORKER_RESTARTED, nowMs);
             }
         }
     }
 
+    /** Returns whether a start order that was sent to an earlier incarnation may still arrive. */
+    private static boolean mayStillStart(Run run) {
+        return switch (run.phase) {
+            case STARTING -> true;
+            case STOPPING -> run.hasUnansweredStart || run.startedAtMs == Long.MAX_VALUE;
+            case RUNNING -> run.hasUnansweredStart;
+            // A new incarnation that has answered this owner rejects orders of earlier owners.
+            case RECORDING, UNCONFIRMED -> false;
+        };
+    }
+
     /** Removes all runs of a worker, whose leases have expired. */
     void onLeaseExpired(Worker worker, long nowMs) {
         for (Run run : new ArrayList<>(worker.runs.values())) {
@@ -453,12 +471,17 @@
 
     /** Returns whether a run has certainly ended if a report requested at a time lacks it. */
     private boolean isOverIfAbsent(Run run, long requestedAtMs) {
-        boolean startExpired = requestedAtMs > run.lastStartSentAtMs + mSettings.orderExpiryMs();
+        // The expiry time of an order means nothing on the clock of a later incarnation.
+        long maxStartDelayMs =
+                run.workerIncarnation < run.worker.incarnation
+                        ? MAX_CALL_DELAY_MS
+                        : mSettings.orderExpiryMs();
+        boolean startExpired = requestedAtMs > run.lastStartSentAtMs + maxStartDelayMs;
         return switch (run.phase) {
             case RECORDING -> false;
             case STARTING -> startExpired;
             case RUNNING -> requestedAtMs >= run.confirmedAtMs;
-            // A run that has started cannot start again, whether its stop is confirmed or not.
+            // An incarnation does not start a run again, whether its stop is confirmed or not.
             case STOPPING ->
                     requestedAtMs >= Math.min(run.confirmedAtMs, run.startedAtMs) || startExpired;
             // After this owner's first poll, the worker rejects orders of earlier owners.
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
@@ -10,12 +10,14 @@
 import static org.lycheeroad.coordination.jobs.StepBuilder.step;
 
 import java.util.List;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.ProgressRecord;
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.RunOutcome;
+import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.WorkState;
 
 /** Workers that crash and restart under the same id while orders are in transit. */
@@ -109,6 +111,137 @@
         assertThat(starts(next.runRound())).hasSize(1);
     }
 
+    /** Starts of which one copy was not answered and may reach the new incarnation. */
+    @Nested
+    class UnansweredCopies {
+        private static final long CALL_DELAY_MS = 12_000;
+
+        /** Guards against dropping a running run whose first start can start it again. */
+        @Test
+        void runningRunIsStoppedOnTheNewIncarnation() {
+            JobAction.Start start = startWithUnansweredCopy();
+            report();
+            List<JobAction> actions = mFixture.runRound();
+            assertThat(stops(actions)).extracting(JobAction.Stop::run).containsExactly(start.run());
+            assertThat(starts(actions)).isEmpty();
+            mFixture.nowMs += 10;
+            report();
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            answerStop(start);
+            report();
+            assertStartedElsewhere();
+        }
+
+        /** Guards against dropping a stopped run because the earlier incarnation had started it. */
+        @Test
+        void stoppingRunIsStoppedOnTheNewIncarnation() {
+            JobAction.Start start = startWithUnansweredCopy();
+            mFixture.nowMs += 4_000;
+            mFixture.report("w1", List.of(running(start, 0)), List.of());
+            assertThat(stops(mFixture.runRound())).hasSize(1);
+            answerStop(start);
+            report();
+            List<JobAction> actions = mFixture.runRound();
+            assertThat(stops(actions)).extracting(JobAction.Stop::run).containsExactly(start.run());
+            assertThat(starts(actions)).isEmpty();
+            mFixture.nowMs += 10;
+            answerStop(start);
+            report();
+            assertStartedElsewhere();
+        }
+
+        /**
+         * Guards against the expiry time of a start, which is a time on the clock of the earlier
+         * incarnation, as proof that the new one cannot start the run.
+         */
+        @Test
+        void expiredOrderMayStartOnTheNewIncarnation() {
+            JobAction.Start start = startWithUnansweredCopy();
+            report();
+            mFixture.runRound();
+            mFixture.nowMs += CALL_DELAY_MS;
+            report();
+            assertThat(starts(mFixture.runRound())).isEmpty();
+            answerStop(start);
+            report();
+            assertStartedElsewhere();
+        }
+
+        /** Guards against holding a task for as long as its worker refuses all stops. */
+        @Test
+        void refusedStopHoldsTheTaskOnlyWhileTheStartCanArrive() {
+            JobAction.Start start = startWithUnansweredCopy();
+            report();
+            mFixture.runRound();
+            mFixture.nowMs += RunTracker.MAX_CALL_DELAY_MS + 1;
+            mScheduler.onStopAnswer(
+                    start.worker(), start.run(), OrderAnswer.UNHEALTHY, mFixture.nowMs);
+            report();
+            assertStartedElsewhere();
+        }
+
+        /** Guards against running members of a gang whose other member is not sure to run. */
+        @Test
+        void gangIsStoppedWithItsMember() {
+            JobSchedulerFixture fixture = new JobSchedulerFixture();
+            fixture.addWorker("w1", "r1");
+            fixture.addWorker("w2", "r1");
+            fixture.submit("j1", BULK, step(2, 8, 1_000).gang().build());
+            List<JobAction> orders = fixture.runRound();
+            JobScheduler scheduler = fixture.scheduler;
+            scheduler.onStartAnswer(
+                    new WorkerId("w1"),
+                    runOn("w1", starts(orders)),
+                    OrderAnswer.UNKNOWN,
+                    fixture.nowMs);
+            fixture.acceptStarts(orders);
+            fixture.runRound();
+            fixture.report("w1", RESTARTED_INCARNATION, List.of(), List.of());
+            assertThat(workersOfStops(fixture.runRound())).containsExactlyInAnyOrder("w1", "w2");
+        }
+
+        /** Starts the run of j1 with a second copy of the order, the first being unanswered. */
+        private JobAction.Start startWithUnansweredCopy() {
+            JobAction.Start start = start();
+            answer(start, OrderAnswer.UNKNOWN);
+            assertThat(starts(mScheduler.takeActions())).containsExactly(start);
+            answer(start, OrderAnswer.ACCEPTED);
+            mFixture.addWorker("w2", "r1");
+            return start;
+        }
+
+        private void answer(JobAction.Start start, OrderAnswer answer) {
+            mScheduler.onStartAnswer(start.worker(), start.run(), answer, mFixture.nowMs);
+        }
+
+        private void answerStop(JobAction.Start start) {
+            mScheduler.onStopAnswer(
+                    start.worker(), start.run(), OrderAnswer.ACCEPTED, mFixture.nowMs);
+        }
+
+        private void report() {
+            mFixture.report("w1", RESTARTED_INCARNATION, List.of(), List.of());
+        }
+
+        private void assertStartedElsewhere() {
+            assertThat(starts(mFixture.runRound()))
+                    .extracting(s -> s.run().attempt())
+                    .containsExactly(2);
+        }
+
+        private static RunRef runOn(String worker, List<JobAction.Start> starts) {
+            return starts.stream()
+                    .filter(start -> start.worker().value().equals(worker))
+                    .findFirst()
+                    .orElseThrow()
+                    .run();
+        }
+
+        private static List<String> workersOfStops(List<JobAction> actions) {
+            return stops(actions).stream().map(stop -> stop.worker().value()).toList();
+        }
+    }
+
     private JobAction.Start start() {
         return starts(mFixture.runRound()).get(0);
     }
