runs: count a success that is listed while a newer run of the task runs

Cause: a run that was taken as lost, because its worker was silent until its leases had expired, may have ended as done before. When the worker lists that end later, it counted only if the task had no newer run. Otherwise the end was acknowledged without effect, and the task was started again whenever its newer run was stopped or lost.

Change: such an end makes the task done and stops the newer run (reason TASK_DONE), also by the next owner if it takes over before the stop has an effect. A run that fails while it is stopped for this reason does not count as a failure. Members of gangs are as before: the success of one member of an earlier attempt says nothing about the others.

Evidence: JobSchedulerTest.Failures.lateSuccessCountsWhileANewerRunIsRunning failed before, as no stop was sent, and passes now with the tests of coordination and scheduler.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -297,6 +297,10 @@
     private void stopIfObsolete(Run run, long nowMs) {
         StepInstance step = run.task.step;
         if (run.task.done) {
+            // The other runs of a gang that is done end by themselves.
+            if (!step.plan.gang()) {
+                mState.stopRun(run, StopReason.TASK_DONE, nowMs);
+            }
             return;
         }
         if (step.job.state.isEnded()) {
@@ -339,15 +343,20 @@
         worker.unsavedEnds.add(new UnsavedEnd(end.sequence(), end.run().task().job(), version));
     }
 
-    /** Counts the success of a run that was already removed, unless the task has a newer run. */
+    /**
+     * Counts the success of a run that was already removed. A newer run of the task is stopped, as
+     * the task must not start again once the end is acknowledged.
+     */
     private void onLateSuccess(Job job, EndedRun end, long nowMs) {
         Task task = findTask(job, end.run());
         if (task != null
                 && !task.done
-                && task.run == null
-                && task.attempt == end.run().attempt()
+                && task.attempt >= end.run().attempt()
                 && !task.step.plan.gang()) {
             task.done = true;
+            if (task.run != null) {
+                mState.stopRun(task.run, StopReason.TASK_DONE, nowMs);
+            }
             mState.markUnsaved(job);
             completeJobIfDone(job, nowMs);
         }
@@ -359,7 +368,7 @@
         boolean isCurrent = run.isCurrent() && mState.activeJobs.containsKey(job.id);
         if (how == RunOutcome.DONE && isCurrent && !step.plan.longRunning()) {
             onSuccess(run, nowMs);
-        } else if (how == RunOutcome.FAILED && isCurrent) {
+        } else if (how == RunOutcome.FAILED && isCurrent && !run.task.done) {
             onFailure(run, nowMs);
         }
         mState.removeRun(run);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopReason.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StopReason.java
@@ -16,6 +16,8 @@
     GANG_BROKEN,
     /** Its job has ended. */
     JOB_ENDED,
+    /** An earlier run of its task was reported as done after it had been taken as lost. */
+    TASK_DONE,
     /** Its worker is draining; the task is to run elsewhere. */
     WORKER_LEAVES,
     /** The scheduler has no record of it. */
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -323,6 +323,33 @@
             assertThat(workersOf(starts(mFixture.runRound()))).containsExactly("w2");
         }
 
+        /**
+         * Guards against a third run of a task whose first run is listed as done while the second
+         * one runs (fcvf-grown, hunt-28b9-7).
+         */
+        @Test
+        void lateSuccessCountsWhileANewerRunIsRunning() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.submit("j1", BULK, tasks(1, 1, 1_000));
+            List<JobAction> first = mFixture.runRound();
+            mFixture.acceptStarts(first);
+            mFixture.addWorker("w2", "r1");
+            mScheduler.onLeaseExpired(new WorkerId("w1"), mFixture.nowMs);
+            List<JobAction> second = mFixture.runRound();
+            mFixture.acceptStarts(second);
+            mFixture.report(
+                    "w1", List.of(), List.of(ended(1, first.get(0).run(), RunOutcome.DONE)));
+            List<JobAction> actions = mFixture.runRound();
+            assertThat(stops(actions))
+                    .extracting(JobAction.Stop::run)
+                    .containsExactly(second.get(0).run());
+            mFixture.saveAll();
+            assertThat(mScheduler.stateOf(new JobId("j1"))).contains(WorkState.COMPLETED);
+            mFixture.report(
+                    "w2", List.of(), List.of(ended(1, second.get(0).run(), RunOutcome.STOPPED)));
+            assertThat(starts(mFixture.runRound())).isEmpty();
+        }
+
         /** Guards against runs that are started again without a trace of why the first was over. */
         @Test
         void runThatIsTakenAsOverIsNamed() {
