owner: count a stop as confirmed only by the incarnation that it was sent to

Cause: answers on different channels overtake each other. A stop that the earlier incarnation of a worker confirmed could be answered after the first report of the new one, and then counted as its confirmation, although the new one does not know of the stop and a late start can still begin the run there.

Change: the answer counts as unknown if another incarnation has replied to a poll since the stop was sent; the stop is repeated as usual, after 700 ms.

The tests of coordination, scheduler and the modules that they need pass: 380 tests, no failures.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -259,10 +259,15 @@
                         + mEntry.id()
                         + " reason="
                         + stop.reason());
+        long incarnationMs = mRepliedIncarnationMs;
         mExecutor.whenComplete(
                 mGateway.stop(endpoint(), stop.run()),
                 (reply, e) -> {
                     OrderAnswer answer = onOrderReply(reply, "stop", stop.run().toString());
+                    if (answer == OrderAnswer.ACCEPTED && incarnationMs != mRepliedIncarnationMs) {
+                        // The earlier incarnation may have confirmed it; the new one may not know.
+                        answer = OrderAnswer.UNKNOWN;
+                    }
                     if (!mStopped) {
                         mScheduler.onStopAnswer(
                                 mEntry.id(), stop.run(), answer, mClock.monotonicMs());
