test: late starts on a worker that restarts unseen

- A silent worker whose restart the directory does not show: the run with an unanswered start is over at the lease bound, but the worker may restart after that and take the start.
- A run that failed while a copy of its start was unanswered: its task is tried again at once, and a new incarnation may start the copy before its first report.

The safe change for the first is to hold such runs on every silent worker, which delays their tasks by 15 s after each crash during a start; for the second, to delay the next attempt likewise. What this costs has not been measured.

--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
@@ -350,6 +350,29 @@
             assertThat(starts(next.runRound())).hasSize(1);
         }
 
+        /**
+         * Guards against a second run when a silent worker restarts after its leases have expired.
+         */
+        @Test
+        void unansweredStartOutlastsTheLeasesOfAWorkerThatMayRestart() {
+            answer(start(), OrderAnswer.UNKNOWN);
+            mFixture.addWorker("w2", "r1");
+            assertHeldUntil(mFixture.nowMs + RunTracker.MAX_CALL_DELAY_MS + mLeaseMs);
+        }
+
+        /** Guards against a retry beside a copy that a new incarnation starts before it reports. */
+        @Test
+        void failedRunIsNotRetriedWhileACopyOfItsStartCanArrive() {
+            JobAction.Start start = start();
+            answer(start, OrderAnswer.UNKNOWN);
+            answer(start, OrderAnswer.ACCEPTED);
+            mScheduler.takeActions();
+            mFixture.addWorker("w2", "r1");
+            mFixture.report("w1", List.of(), List.of(ended(1, start.run(), RunOutcome.FAILED)));
+            mFixture.restartWorker("w1", "r1", RESTARTED_INCARNATION);
+            assertThat(starts(mFixture.runRound())).isEmpty();
+        }
+
         /** Guards against waiting for late starts of a run whose starts were all answered. */
         @Test
         void answeredStartEndsWithTheLeasesOfARestartedWorker() {
