owner: count the expiry of a start from when it is sent

Cause: the expiry of an unanswered start counted from when the scheduler issued it. Orders wait while the lease of the term is not valid: a save that is acknowledged, or a start without an answer, issues a start outside of a pass, and passes send nothing until the lease is renewed. The order carries a lease that counts from when it is sent. A report requested between the two expiries took a start in flight as over (NOT_REPORTED). A start that waited until its run was over was sent all the same, also if its worker's leases had expired and the task was to start elsewhere.

Change: the session tells the scheduler when a start is sent, with the time from which its lease counts. Orders to start a run that is over are left out when the orders are taken. The bounds are unchanged; the expiry of a start that waited comes later by as long as it waited.

Evidence: both tests fail before the change. WorkerSessionTest$StartThatWaitedForTheTermsLease .isNotOverWhileTheOrderIsInFlight: Expecting empty but was: [DroppedRun[run=j1.0.0.0#1, worker=w1, cause=NOT_REPORTED, phase=STARTING, startSentMsAgo=8000, hasUnansweredStart=false]] JobSchedulerTest$Failures.issuedStartOfARunThatIsOverIsNotSent: Expecting empty but was: [Start[worker=w1, workerIncarnation=1000, run=j1.0.0.0#1, spec=spec, checkpoint=, ticket=]] The tests of coordination, scheduler and the modules they need pass.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/ClusterState.java
@@ -58,13 +58,24 @@
         }
     }
 
-    /** Returns the orders issued since the last call. */
+    /**
+     * Returns the orders issued since the last call.
+     *
+     * <p>Orders wait while the owner may not send any. A start whose run is over by then is left
+     * out, since the task may have been started elsewhere.
+     */
     List<JobAction> takeActions() {
         List<JobAction> actions = mActions;
         mActions = new ArrayList<>();
+        actions.removeIf(action -> action instanceof JobAction.Start && !hasRun(action));
         return actions;
     }
 
+    private boolean hasRun(JobAction action) {
+        Worker worker = workers.get(action.worker());
+        return worker != null && worker.runs.containsKey(action.run());
+    }
+
     /** Returns the runs that were dropped since the last call. */
     List<DroppedRun> takeDroppedRuns() {
         List<DroppedRun> dropped = mDroppedRuns;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -202,6 +202,17 @@
         }
     }
 
+    /**
+     * Notes when a start is sent, which may be long after it was issued; it expires only some time
+     * after that.
+     */
+    public void onStartSent(WorkerId id, RunRef ref, long sentAtMs) {
+        Run run = findRun(id, ref);
+        if (run != null) {
+            run.lastStartSentAtMs = Math.max(run.lastStartSentAtMs, sentAtMs);
+        }
+    }
+
     /** Applies the answer to a start order. */
     public void onStartAnswer(WorkerId id, RunRef ref, OrderAnswer answer, long nowMs) {
         if (answer == OrderAnswer.UNKNOWN) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Run.java
@@ -41,7 +41,7 @@
     /** When the start order was first sent. */
     public long firstStartSentAtMs;
 
-    /** When the start order was last sent. */
+    /** When the start order was last issued or sent. */
     public long lastStartSentAtMs;
 
     /** When the run was restored from an earlier owner's record; 0 if it was not. */
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -372,6 +372,17 @@
             assertThat(mScheduler.takeDroppedRuns()).isEmpty();
         }
 
+        /** Guards against a second run of a task whose first start waits longer than its lease. */
+        @Test
+        void issuedStartOfARunThatIsOverIsNotSent() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.submit("j1", BULK, tasks(1, 1, 1_000));
+            mFixture.runRound(false);
+            mFixture.saveAll();
+            mScheduler.onLeaseExpired(new WorkerId("w1"), mFixture.nowMs);
+            assertThat(mScheduler.takeActions()).isEmpty();
+        }
+
         /** Guards against a second run while a late start may still arrive. */
         @Test
         void unansweredStartIsRepeatedAndThenStopped() {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -217,6 +217,7 @@
         }
         long sentAtMs = mClock.monotonicMs();
         mLeasesExpiredAtMs = Math.max(mLeasesExpiredAtMs, latestLeaseExpiryMs(sentAtMs));
+        mScheduler.onStartSent(mEntry.id(), start.run(), sentAtMs);
         mEvents.record(
                 EventCode.ORDER_SENT,
                 start.run().task().job().value(),
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -164,8 +164,8 @@
                     () -> {
                         mClockReadAtMs = mClock.monotonicMs();
                         mClock.advance(IDLE_MS);
-                        submitJob();
-                        orders().forEach(order -> mSession.start((JobAction.Start) order));
+                        issueStart();
+                        sendStarts();
                         mSession.pollIfDue();
                     });
         }
@@ -218,6 +218,30 @@
         }
     }
 
+    /** Orders are not sent while the lease of the term is not valid. */
+    @Nested
+    class StartThatWaitedForTheTermsLease {
+        /** Longer than the worker takes a start after it was sent. */
+        private static final long LEASE_INVALID_MS = 8_000;
+
+        /** Guards against a second run of a task whose start is taken as expired in flight. */
+        @Test
+        void isNotOverWhileTheOrderIsInFlight() throws Exception {
+            mGateway.answerNextPoll(List.of());
+            run(
+                    () -> {
+                        issueStart();
+                        mClock.advance(LEASE_INVALID_MS);
+                        sendStarts();
+                        mSession.pollIfDue();
+                    });
+            mGateway.answerNextPoll(List.of());
+            awaitSession();
+            assertThat(mGateway.mStartLeases).hasSize(1);
+            assertThat(mScheduler.takeDroppedRuns()).isEmpty();
+        }
+    }
+
     /** Guards against a late acknowledgement that makes a restarted worker forget new ends. */
     @Test
     void restartedWorkerGetsNoRunsWhileAnAcknowledgementCanArrive() throws Exception {
@@ -278,13 +302,27 @@
         return true;
     }
 
+    /** Submits a job and lets the scheduler issue the start of its run. */
+    private void issueStart() {
+        submitJob();
+        decideAndSave();
+    }
+
+    private void sendStarts() {
+        mScheduler.takeActions().forEach(order -> mSession.start((JobAction.Start) order));
+    }
+
     /** Makes decisions, saves all progress and returns the orders. */
     private List<JobAction> orders() {
+        decideAndSave();
+        return mScheduler.takeActions();
+    }
+
+    private void decideAndSave() {
         mScheduler.runDecisionRound(mClock.monotonicMs(), mClock.wallMs());
         mScheduler
                 .takeUnsavedProgress()
                 .forEach(p -> mScheduler.onSaved(p.job(), p.version(), mClock.monotonicMs()));
-        return mScheduler.takeActions();
     }
 
     private static JobAction.Stop lastStop(List<JobAction> orders) {
