owner: read the time of a start before the term is checked

Cause: WorkerSession.start checked that the lease of the term is valid, and then read the time from which the worker's lease counts. If the process pauses between the two, for example for the garbage collector, the worker's lease counts from a time after the end of the term. The next owner waits only as long as leases last that count from before its own start.

Change: the time is read once, before the check, and used for the bound, the order and the expiry of the start. Polls did so already. Orders to stop and to throttle carry no lease. No bound is longer.

Evidence: with a pause of 5 s after the check, 1 ms before the end of the term, WorkerSessionTest.leaseOfAStartCountsFromBeforeTheTermIsChecked failed before: the lease ended at 108,900 ms on the worker's clock, and the latest that a lease of this term may last is 106,001 ms. It passes now, as do the other tests of the owner.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -207,6 +207,9 @@
     }
 
     void start(JobAction.Start start) {
+        // Read before the term is checked: a lease that counts from a time after the end of the
+        // term could outlast the time that the next owner waits for.
+        long sentAtMs = mClock.monotonicMs();
         if (!mTerm.isLeaseValid()
                 || start.workerIncarnation() != mEntry.incarnationStartMs()
                 || !mWorkerClockKnown) {
@@ -215,7 +218,6 @@
                     mEntry.id(), start.run(), OrderAnswer.EXPIRED, mClock.monotonicMs());
             return;
         }
-        long sentAtMs = mClock.monotonicMs();
         mLeasesExpiredAtMs = Math.max(mLeasesExpiredAtMs, latestLeaseExpiryMs(sentAtMs));
         mScheduler.onStartSent(mEntry.id(), start.run(), sentAtMs);
         mEvents.record(
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ManualClock.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ManualClock.java
@@ -6,6 +6,7 @@
 /** A clock that the test advances. */
 final class ManualClock implements Clock {
     private final AtomicLong mMonotonicMs = new AtomicLong(1_000);
+    private final AtomicLong mPauseMs = new AtomicLong();
     private final AtomicLong mWallMs = new AtomicLong(1_700_000_000_000L);
 
     @Override
@@ -15,7 +16,14 @@
 
     @Override
     public long wallMs() {
-        return mWallMs.get();
+        long wallMs = mWallMs.get();
+        advance(mPauseMs.getAndSet(0));
+        return wallMs;
+    }
+
+    /** Simulates a pause of the process right after its next look at the wall clock. */
+    void advanceAfterNextWallRead(long ms) {
+        mPauseMs.set(ms);
     }
 
     /** Advances the monotonic and the wall clock. */
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -70,6 +70,10 @@
     /** How far the clock advances between two checks for a poll. */
     private static final long STEP_MS = 50;
 
+    private static final long MAX_LEASE_MS = 6_000;
+
+    private static final long PAUSE_MS = 5_000;
+
     private static final int MAX_STEPS = 500;
 
     /** Several times the time between two polls of the session. */
@@ -82,12 +86,13 @@
     private final EventLog mEvents = new EventLog(new EntryId("vm"), new HybridClock(), 16);
     private final JobScheduler mScheduler =
             new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000, false));
+    private final long mTermEndsAtMs = mClock.monotonicMs() + 100_000;
     private WorkerSession mSession;
 
     @BeforeEach
     void setUp() {
         Term term = new Term(1, 10, 1, mClock);
-        term.extendLease(mClock.monotonicMs() + 100_000);
+        term.extendLease(mTermEndsAtMs);
         WorkerStatus entry =
                 new WorkerStatus(
                         WORKER,
@@ -147,6 +152,27 @@
         assertThat(mGateway.receivesNoPoll()).isTrue();
     }
 
+    /**
+     * Guards against a start whose lease outlasts the time that the next owner waits for, as the
+     * process paused after it had checked its term (a pause of the garbage collector, for example).
+     */
+    @Test
+    void leaseOfAStartCountsFromBeforeTheTermIsChecked() throws Exception {
+        mGateway.answerNextPoll(List.of());
+        awaitSession();
+        long readAtMs = mClock.monotonicMs();
+        run(
+                () -> {
+                    issueStart();
+                    mClock.advance(mTermEndsAtMs - mClock.monotonicMs() - 1);
+                    mClock.advanceAfterNextWallRead(PAUSE_MS);
+                    sendStarts();
+                });
+        assertThat(mClock.monotonicMs()).isGreaterThan(mTermEndsAtMs);
+        assertThat(mGateway.mStartLeases.remove())
+                .isLessThanOrEqualTo(WORKER_CLOCK_MS + mTermEndsAtMs - readAtMs + MAX_LEASE_MS);
+    }
+
     /** The worker's clock is slow, and was read for the last time a minute ago. */
     @Nested
     class LeaseOutlivesTheOwnersBound {
