owner: compare the clocks with those at the request of a renewal

Cause: the lease of a term counts from the request of its renewal, but the offset between wall and monotonic clock, which shows that the VM was suspended, was read when the reply was handled. A VM that was suspended in between saw no drift afterwards, and took its lease as valid on a monotonic clock that had stood still, while the lease could have ended in the store and another owner been elected.

Change: the offset is read when the renewal or the candidacy is requested. It is kept only with the validity that came with it, so that a late reply to an earlier renewal does not undo a newer one. No bound is longer.

Evidence: with the offset read at the reply, TermTest.vmSuspensionBeforeTheReplyInvalidatesTheRenewedLease failed ("Expecting value to be false but was true"), and replyToAnEarlierRenewalHasNoEffect passed. Both pass now; vmSuspensionInvalidatesTheLeaseUntilTheNextRenewal is as before, but for the added argument. Tests: coordination 281, scheduler 68, none failed. No test runs the calls of Election.

--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -201,6 +201,7 @@
             return;
         }
         long requestedAtMs = mClock.monotonicMs();
+        long wallClockOffsetMs = Term.wallClockOffsetMs(mClock);
         // The two calls do not depend on each other; a lease that is not used ends by itself.
         CompletableFuture<Long> lease =
                 mStore.grantLease(Math.max(LEASE_MS, mSettings.minStoreLeaseMs()));
@@ -212,14 +213,14 @@
                         return;
                     }
                     mRttMs = Math.max(1, mClock.monotonicMs() - requestedAtMs);
-                    commitOwnership(candidacy, requestedAtMs);
+                    commitOwnership(candidacy, requestedAtMs, wallClockOffsetMs);
                 });
     }
 
     /** The newest epoch as stored, and the lease for the owner's key. */
     private record Candidacy(Optional<KeyValue> epochKeyValue, long leaseId) {}
 
-    private void commitOwnership(Candidacy candidacy, long requestedAtMs) {
+    private void commitOwnership(Candidacy candidacy, long requestedAtMs, long wallClockOffsetMs) {
         Optional<KeyValue> stored = candidacy.epochKeyValue;
         long epoch;
         try {
@@ -233,10 +234,16 @@
                 epoch + 1,
                 stored.map(KeyValue::revision).orElse(0L),
                 candidacy.leaseId,
-                requestedAtMs);
+                requestedAtMs,
+                wallClockOffsetMs);
     }
 
-    private void commitOwnership(long epoch, long epochRevision, long leaseId, long requestedAtMs) {
+    private void commitOwnership(
+            long epoch,
+            long epochRevision,
+            long leaseId,
+            long requestedAtMs,
+            long wallClockOffsetMs) {
         OwnerRecord record =
                 new OwnerRecord(mSettings.name(), mIncarnation, epoch, mSettings.peerAddress());
         Transaction transaction =
@@ -261,7 +268,8 @@
                         mCampaigning = false;
                         mOwner = Optional.of(record);
                         mTerm = new Term(epoch, committed.revision(), leaseId, mClock);
-                        mTerm.extendLease(requestedAtMs + LEASE_MS - LEASE_MARGIN_MS);
+                        mTerm.extendLease(
+                                requestedAtMs + LEASE_MS - LEASE_MARGIN_MS, wallClockOffsetMs);
                         mEvents.record(EventCode.ROLE_GAINED, "", "epoch=" + epoch);
                         mListener.onElected(mTerm);
                         scheduleRenewal(mTerm);
@@ -289,6 +297,7 @@
         }
         scheduleRenewal(term);
         long requestedAtMs = mClock.monotonicMs();
+        long wallClockOffsetMs = Term.wallClockOffsetMs(mClock);
         mExecutor.whenComplete(
                 mStore.renewLease(term.leaseId()),
                 (alive, e) -> {
@@ -302,7 +311,8 @@
                         return;
                     }
                     if (e == null) {
-                        term.extendLease(requestedAtMs + LEASE_MS - LEASE_MARGIN_MS);
+                        term.extendLease(
+                                requestedAtMs + LEASE_MS - LEASE_MARGIN_MS, wallClockOffsetMs);
                     }
                 });
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Term.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Term.java
@@ -43,13 +43,26 @@
         return mLeaseId;
     }
 
+    /**
+     * Returns by how much the wall clock is ahead of the monotonic clock. It is too low, which at
+     * most invalidates a lease, if the VM is suspended or pauses between the two readings.
+     */
+    static long wallClockOffsetMs(Clock clock) {
+        return clock.wallMs() - clock.monotonicMs();
+    }
+
     /**
      * Extends the lease up to a time on the monotonic clock; calls may come out of order, and an
      * earlier time has no effect.
+     *
+     * @param wallClockOffsetMs the offset when the renewal was requested; one that is read after
+     *     the reply would hide a suspension of the VM in between
      */
-    void extendLease(long validUntilMs) {
-        mWallClockOffsetMs = mClock.wallMs() - mClock.monotonicMs();
-        mLeaseValidUntilMs = Math.max(mLeaseValidUntilMs, validUntilMs);
+    void extendLease(long validUntilMs, long wallClockOffsetMs) {
+        if (validUntilMs >= mLeaseValidUntilMs) {
+            mWallClockOffsetMs = wallClockOffsetMs;
+            mLeaseValidUntilMs = validUntilMs;
+        }
     }
 
     void end() {
@@ -65,8 +78,8 @@
      * Returns whether the lease is certain not to have expired.
      *
      * <p>The monotonic clock stops while the VM is suspended, but the wall clock does not.
-     * Therefore the lease counts as expired when the two have drifted apart since the last renewal,
-     * until it is renewed again.
+     * Therefore the lease counts as expired when the two have drifted apart since the last renewal
+     * was requested, until it is renewed again.
      */
     public boolean isLeaseValid() {
         long monotonicMs = mClock.monotonicMs();
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -90,7 +90,7 @@
                         events,
                         new NodeMetrics());
         Term term = new Term(1, 10, 1, mClock);
-        term.extendLease(mClock.monotonicMs() + 100_000);
+        term.extendLease(mClock.monotonicMs() + 100_000, Term.wallClockOffsetMs(mClock));
         OwnerSession session =
                 new OwnerSession(
                         mStore,
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ProgressSaverTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ProgressSaverTest.java
@@ -43,7 +43,7 @@
     void setUp() {
         ManualClock clock = new ManualClock();
         Term term = new Term(1, OWNER_REVISION, 1, clock);
-        term.extendLease(clock.monotonicMs() + 10_000);
+        term.extendLease(clock.monotonicMs() + 10_000, Term.wallClockOffsetMs(clock));
         mSaver =
                 new ProgressSaver(
                         mStore,
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/RecordCleanerTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/RecordCleanerTest.java
@@ -37,7 +37,7 @@
     @BeforeEach
     void setUp() {
         mTerm = new Term(1, OWNER_REVISION, 1, mClock);
-        mTerm.extendLease(mClock.monotonicMs() + 10_000);
+        mTerm.extendLease(mClock.monotonicMs() + 10_000, Term.wallClockOffsetMs(mClock));
         EventRecorder events =
                 new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16));
         mCleaner = new RecordCleaner(mStore, mExecutor, mTerm, events);
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/TermTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/TermTest.java
@@ -9,7 +9,7 @@
     private final Term mTerm = new Term(7, 10, 3, mClock);
 
     TermTest() {
-        mTerm.extendLease(mClock.monotonicMs() + 2_000);
+        extendLease();
     }
 
     /** An owner that acted after its lease expired could interfere with the next owner. */
@@ -26,7 +26,34 @@
     void vmSuspensionInvalidatesTheLeaseUntilTheNextRenewal() {
         mClock.suspendVm(10_000);
         assertThat(mTerm.isLeaseValid()).isFalse();
-        mTerm.extendLease(mClock.monotonicMs() + 2_000);
+        extendLease();
+        assertThat(mTerm.isLeaseValid()).isTrue();
+    }
+
+    /**
+     * Guards against an owner that was suspended while a renewal was in flight, and takes the lease
+     * as valid after it has ended in the store.
+     */
+    @Test
+    void vmSuspensionBeforeTheReplyInvalidatesTheRenewedLease() {
+        long requestedAtMs = mClock.monotonicMs();
+        long wallClockOffsetMs = Term.wallClockOffsetMs(mClock);
+        mClock.suspendVm(10_000);
+        mTerm.extendLease(requestedAtMs + 2_000, wallClockOffsetMs);
+        assertThat(mTerm.isLeaseValid()).isFalse();
+        extendLease();
+        assertThat(mTerm.isLeaseValid()).isTrue();
+    }
+
+    /** Guards against a late reply to an earlier renewal that undoes a newer one. */
+    @Test
+    void replyToAnEarlierRenewalHasNoEffect() {
+        long requestedAtMs = mClock.monotonicMs();
+        long wallClockOffsetMs = Term.wallClockOffsetMs(mClock);
+        mClock.suspendVm(10_000);
+        mClock.advance(100);
+        extendLease();
+        mTerm.extendLease(requestedAtMs + 2_000, wallClockOffsetMs);
         assertThat(mTerm.isLeaseValid()).isTrue();
     }
 
@@ -34,7 +61,11 @@
     @Test
     void renewalDoesNotReviveAnEndedTerm() {
         mTerm.end();
-        mTerm.extendLease(mClock.monotonicMs() + 2_000);
+        extendLease();
         assertThat(mTerm.isLeaseValid()).isFalse();
     }
+
+    private void extendLease() {
+        mTerm.extendLease(mClock.monotonicMs() + 2_000, Term.wallClockOffsetMs(mClock));
+    }
 }
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -92,7 +92,7 @@
     @BeforeEach
     void setUp() {
         Term term = new Term(1, 10, 1, mClock);
-        term.extendLease(mTermEndsAtMs);
+        term.extendLease(mTermEndsAtMs, Term.wallClockOffsetMs(mClock));
         WorkerStatus entry =
                 new WorkerStatus(
                         WORKER,
