runs: do not complete a long-running task by an end that is listed late

Cause: the success of a run that was already removed was counted without regard to the kind of its step, although long-running tasks have to be started again however they end. Since the success counts beside a newer run, it would also stop that run.

Change: late successes of long-running tasks are not counted, as is the case for ends that are listed in time.

Evidence: JobSchedulerTest.Failures.lateEndDoesNotCompleteALongRunningTask failed before: the newer run was stopped. The test beside it now marks the silent worker, so that the second run is on the other worker.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -398,7 +398,8 @@
         if (task != null
                 && !task.done
                 && task.attempt >= end.run().attempt()
-                && !task.step.plan.gang()) {
+                && !task.step.plan.gang()
+                && !task.step.plan.longRunning()) {
             task.done = true;
             if (task.run != null) {
                 mState.stopRun(task.run, StopReason.TASK_DONE, nowMs);
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerTest.java
@@ -9,6 +9,7 @@
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.stops;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.tasks;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
+import static org.lycheeroad.coordination.jobs.StepBuilder.step;
 
 import java.util.List;
 import org.junit.jupiter.api.Nested;
@@ -334,6 +335,7 @@
             List<JobAction> first = mFixture.runRound();
             mFixture.acceptStarts(first);
             mFixture.addWorker("w2", "r1");
+            mScheduler.onWorkerUnresponsive(new WorkerId("w1"));
             mScheduler.onLeaseExpired(new WorkerId("w1"), mFixture.nowMs);
             List<JobAction> second = mFixture.runRound();
             mFixture.acceptStarts(second);
@@ -350,6 +352,23 @@
             assertThat(starts(mFixture.runRound())).isEmpty();
         }
 
+        /** Guards against a long-running task that stays down after an end that is listed late. */
+        @Test
+        void lateEndDoesNotCompleteALongRunningTask() {
+            mFixture.addWorker("w1", "r1");
+            mFixture.submit("j1", BULK, step(1, 1, 1_000).longRunning().build());
+            List<JobAction> first = mFixture.runRound();
+            mFixture.acceptStarts(first);
+            mFixture.addWorker("w2", "r1");
+            mScheduler.onWorkerUnresponsive(new WorkerId("w1"));
+            mScheduler.onLeaseExpired(new WorkerId("w1"), mFixture.nowMs);
+            mFixture.acceptStarts(mFixture.runRound());
+            mFixture.report(
+                    "w1", List.of(), List.of(ended(1, first.get(0).run(), RunOutcome.DONE)));
+            assertThat(mFixture.runRound()).isEmpty();
+            assertThat(mScheduler.stateOf(new JobId("j1"))).contains(WorkState.ACTIVE);
+        }
+
         /** Guards against runs that are started again without a trace of why the first was over. */
         @Test
         void runThatIsTakenAsOverIsNamed() {
