runs: keep a run that was confirmed after a restart's first report was requested

Cause: at the first report of a new incarnation, a run that the report lacks was taken as lost. A start that the new incarnation received after it had made the report, and whose answer overtook it, was running there.

Change: a run that was confirmed after the report was requested is judged by the next report, as it is for reports of a known incarnation.

--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -88,7 +88,7 @@
             return;
         }
         if (report.incarnationStartMs() > worker.incarnation) {
-            onNewIncarnation(worker, report, nowMs);
+            onNewIncarnation(worker, report, requestedAtMs, nowMs);
         }
         worker.hasAnswered = true;
         worker.unresponsive = false;
@@ -119,7 +119,8 @@
      * Handles the first report of a new incarnation. It has none of the runs of the incarnation
      * before, but may already have received starts that were sent to that one.
      */
-    private void onNewIncarnation(Worker worker, WorkerRuns report, long nowMs) {
+    private void onNewIncarnation(
+            Worker worker, WorkerRuns report, long requestedAtMs, long nowMs) {
         worker.incarnation = report.incarnationStartMs();
         worker.newestEndNumber = 0;
         worker.acknowledgedEnd = 0;
@@ -154,12 +155,17 @@
                     mState.stopRun(run, StopReason.NO_ANSWER, nowMs);
                     stopGangOf(run, nowMs);
                 }
-            } else if (report.listsAllEndedRuns()) {
+            } else if (report.listsAllEndedRuns() && !startedAfter(run, requestedAtMs)) {
                 onLost(run, DroppedRun.Cause.WORKER_RESTARTED, nowMs);
             }
         }
     }
 
+    /** Returns whether a start was confirmed after a time, so that a report of then may lack it. */
+    private static boolean startedAfter(Run run, long timeMs) {
+        return run.phase == Phase.RUNNING && run.confirmedAtMs > timeMs;
+    }
+
     private static void forgetStartsThatCannotArrive(Worker worker, long nowMs) {
         worker.endedUnansweredStarts
                 .values()
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
@@ -19,6 +19,7 @@
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.WorkState;
+import org.lycheeroad.state.work.WorkerRuns;
 
 /** Workers that crash and restart under the same id while orders are in transit. */
 class WorkerIncarnationTest {
@@ -111,6 +112,27 @@
         assertThat(starts(next.runRound())).hasSize(1);
     }
 
+    /**
+     * Guards against a second run beside one that the new incarnation confirmed while its first
+     * report was on its way.
+     */
+    @Test
+    void startConfirmedAfterTheReportWasRequestedIsKept() {
+        JobAction.Start start = start();
+        long requestedAtMs = mFixture.nowMs;
+        mFixture.nowMs += 10;
+        mScheduler.onStartAnswer(start.worker(), start.run(), OrderAnswer.ACCEPTED, mFixture.nowMs);
+        mFixture.addWorker("w2", "r1");
+        mScheduler.onRunReport(
+                start.worker(),
+                new WorkerRuns(mFixture.nowMs, RESTARTED_INCARNATION, List.of(), List.of(), true),
+                requestedAtMs,
+                mFixture.nowMs);
+        assertThat(starts(mFixture.runRound())).isEmpty();
+        mFixture.report("w1", RESTARTED_INCARNATION, List.of(), List.of());
+        assertThat(starts(mFixture.runRound())).hasSize(1);
+    }
+
     /** Starts of which one copy was not answered and may reach the new incarnation. */
     @Nested
     class UnansweredCopies {
