--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -381,7 +381,7 @@
                         + " born="
                         + runs.incarnationStartMs()
                         + " restarted="
-                        + !sameIncarnation
+                        + (mRepliedIncarnationMs != 0 && !sameIncarnation)
                         + " expired_ms_ago="
                         + (nowMs - mLeasesExpiredAtMs)
                         + " lease_over_ms="
