test: starts that wait while a poll fails

A start that waits for the next pass while the poll in flight fails was sent although its run had just been taken as over, and the task started elsewhere.

--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
@@ -49,6 +49,17 @@
         assertThat(explore(faults, FIRST_SEED, SEEDS)).isEmpty();
     }
 
+    /**
+     * Guards against the start of a run that is dropped between its order and the next pass, by a
+     * poll that fails in that time after all earlier leases have expired.
+     */
+    @Test
+    void rulesHoldForStartsThatWaitWhileAPollFails() {
+        Set<Fault> faults = allBut(Fault.RESTARTS, Fault.IDLE_PHASES);
+        assertThat(explore(faults, 2_135, 1)).isEmpty();
+        assertThat(explore(faults, 6_124, 1)).isEmpty();
+    }
+
     /**
      * Guards against leases beyond the owner's bound by calls that arrive seconds after they were
      * sent, with an expiry computed from an old reading of a slow clock.
