--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
@@ -79,6 +79,18 @@
         assertThat(explore(allBut(Fault.RESTARTS, Fault.LATE_CALLS), 120, 3)).isEmpty();
     }
 
+    /**
+     * Guards against the removal of a run by the first report of a new incarnation that was made
+     * before the start arrived there, and that comes after the answer to the start.
+     */
+    @Test
+    void rulesHoldForStartsThatOvertakeTheReportOfARestart() {
+        Set<Fault> faults = EnumSet.of(Fault.RESTARTS, Fault.DELAYS);
+        assertThat(explore(faults, 1_190, 1)).isEmpty();
+        assertThat(explore(faults, 1_239, 1)).isEmpty();
+        assertThat(explore(faults, 1_345, 1)).isEmpty();
+    }
+
     /** Guards against late starts in a new incarnation, which has not received the stop. */
     @Test
     void rulesHoldForLateStartsAfterARestart() {
