--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -56,6 +56,7 @@
     private final OverloadTriage mTriage;
     private final DecisionRound mRound;
     private final LoadSummarizer mLoadSummarizer;
+    private final StallDetector mStallDetector;
 
     public JobScheduler(SchedulerSettings settings) {
         this(settings, SchedulingPolicies.standard());
@@ -72,6 +73,7 @@
         mTriage = new OverloadTriage(mState, order);
         mRound = new DecisionRound(mState, settings, order, mTriage, mAdviceRequester);
         mLoadSummarizer = new LoadSummarizer(mState, order);
+        mStallDetector = new StallDetector(mState);
     }
 
     /** Applies a configuration. */
@@ -276,6 +278,7 @@
         mEvacuator.evacuate(nowMs);
         mSlowRunMover.moveRuns(nowMs, wallMs);
         mRound.run(nowMs, wallMs);
+        mStallDetector.check(nowMs);
     }
 
     /** Returns the orders to send that were issued since the last call. */
@@ -293,6 +296,11 @@
         return mState.takeDroppedRuns();
     }
 
+    /** Returns the stalls to report since the last call: steps that wait beside free workers. */
+    public List<StalledStep> takeStalledSteps() {
+        return mStallDetector.takeStalledSteps();
+    }
+
     /** Returns the requests to placement policies that were issued since the last call. */
     public List<AdviceRequest> takeAdviceRequests() {
         return mAdviceRequester.takeRequests();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/log/NodeMetrics.java
@@ -58,6 +58,15 @@
         mRegistry.counter("lycheeroad_dropped_runs", "cause", cause).increment();
     }
 
+    /**
+     * Counts a report of a step that waits beside free workers.
+     *
+     * @param cause the name of the cause
+     */
+    public void countStalledStep(String cause) {
+        mRegistry.counter("lycheeroad_stalled_steps", "cause", cause).increment();
+    }
+
     /** Counts a value in the store that cannot be parsed and is skipped. */
     public void countUnreadableRecord() {
         mUnreadableRecords.increment();
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -15,6 +16,7 @@
 import org.lycheeroad.coordination.jobs.JobScheduler;
 import org.lycheeroad.coordination.jobs.JobScheduler.UnsavedProgress;
 import org.lycheeroad.coordination.jobs.SchedulerSettings;
+import org.lycheeroad.coordination.jobs.StalledStep;
 import org.lycheeroad.protocol.json.Json;
 import org.lycheeroad.protocol.json.JsonException;
 import org.lycheeroad.scheduler.NodeSettings;
@@ -243,6 +245,7 @@
         mScheduler.takeAdviceRequests().forEach(this::requestAdvice);
         mScheduler.takeGivenWay().forEach(this::recordGivenWay);
         mScheduler.takeDroppedRuns().forEach(this::recordDroppedRun);
+        mScheduler.takeStalledSteps().forEach(this::recordStalledStep);
         if (mScheduler.hasUrgentUnsavedProgress()) {
             save();
         } else if (!mSaveTimerSet) {
@@ -383,6 +386,28 @@
                         + dropped.hasUnansweredStart());
     }
 
+    private void recordStalledStep(StalledStep stalled) {
+        mMetrics.countStalledStep(stalled.cause());
+        StringBuilder text = new StringBuilder();
+        text.append("step=").append(stalled.occurrence()).append('.').append(stalled.step());
+        text.append(" cause=").append(stalled.cause());
+        text.append(" waited_ms=").append(stalled.waitedMs());
+        text.append(" tasks=").append(stalled.waitingTasks());
+        text.append(" room=").append(stalled.roomForTasks());
+        stalled.workers()
+                .forEach(
+                        (barrier, count) ->
+                                text.append(' ')
+                                        .append(barrier.name().toLowerCase(Locale.ROOT))
+                                        .append('=')
+                                        .append(count));
+        for (StalledStep.AwaitedRun run : stalled.awaitedRuns()) {
+            text.append(" run=").append(run.run()).append(" phase=").append(run.phase());
+            text.append(" worker=").append(run.worker()).append(" age_ms=").append(run.ageMs());
+        }
+        mEvents.record(EventCode.STEP_STALLED, stalled.job().value(), text.toString());
+    }
+
     private void applyNewestConfig() {
         mConfigCache
                 .current()
--- a/state/src/main/java/org/lycheeroad/state/event/EventCode.java
+++ b/state/src/main/java/org/lycheeroad/state/event/EventCode.java
@@ -51,6 +51,7 @@
     EVACUATION_ENDED(317, "evacuation of a failure domain ended"),
     JOB_GIVES_WAY(318, "job gives way to others for want of room"),
     RUN_DROPPED(319, "run is taken as over without a reported end"),
+    STEP_STALLED(320, "step waits beside free workers"),
 
     ATTEMPT_STARTED(400, "attempt at a target started"),
     ATTEMPT_ENDED(401, "attempt at a target ended"),
