--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -44,12 +44,15 @@
 import org.lycheeroad.state.work.ClusterConfig;
 import org.lycheeroad.state.work.JobPlan;
 import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.ProgressRecord;
+import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.QueueConfig;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.Resources;
 import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.ServiceName;
 import org.lycheeroad.state.work.StepPlan;
+import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerRuns;
 import org.lycheeroad.state.work.WorkerStatus;
 import org.lycheeroad.transport.events.EventLog;
@@ -66,6 +69,10 @@
     private static final String BROKEN = "broken";
 
     private static final String LATER = "later";
+
+    /** A worker that answers no poll. */
+    private static final String SILENT = "silent";
+
     private static final String DOMAIN = "north";
     private static final long BORN_MS = 1_000;
     private static final long TIMEOUT_MS = 5_000;
@@ -78,6 +85,11 @@
 
     /** Starts a session; {@code evacuationMs} is 0 if the operators cannot evacuate domains. */
     private void startSession(long evacuationMs) {
+        mExecutor.start();
+        startSession(evacuationMs, new Term(1, 10, 1, mClock));
+    }
+
+    private OwnerSession startSession(long evacuationMs, Term term) {
         EventRecorder events =
                 new EventRecorder(new EventLog(new EntryId("vm"), new HybridClock(), 16));
         ConfigCache config =
@@ -89,7 +101,6 @@
                         mClock,
                         events,
                         new NodeMetrics());
-        Term term = new Term(1, 10, 1, mClock);
         term.extendLease(mClock.monotonicMs() + 100_000, Term.wallClockOffsetMs(mClock));
         OwnerSession session =
                 new OwnerSession(
@@ -106,9 +117,9 @@
                         new NodeMetrics(),
                         () -> {});
         mExecutor.setIdleAction(session::runSchedulingPass);
-        mExecutor.start();
         mExecutor.execute(config::start);
         mExecutor.execute(session::start);
+        return session;
     }
 
     @AfterEach
@@ -158,15 +169,47 @@
             mStore.endEvacuation();
             await(() -> mStore.mCommits.get() > 0);
         }
+    }
 
-        /** Lets the session decide several times, with time for its pacing between. */
-        private void awaitDecisions() throws InterruptedException {
-            for (int i = 0; i < 10; i++) {
-                mClock.advance(100);
-                CountDownLatch ran = new CountDownLatch(1);
-                mExecutor.execute(ran::countDown);
-                assertThat(ran.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
-            }
+    @Nested
+    class OwnerChanges {
+        private static final long TERM_MS = 4_000;
+
+        /**
+         * Guards against a wait for the leases of a silent worker that each owner begins anew, so
+         * that its tasks start nowhere while owners change (LOST).
+         */
+        @Test
+        void waitForTheLeasesOfASilentWorkerContinuesUnderTheNextOwner() throws Exception {
+            mStore.applyCommits();
+            mStore.addRun(SILENT);
+            mExecutor.start();
+            OwnerSession first = startSession(0, new Term(1, 10, 1, mClock));
+            mStore.register(LATER);
+            await(() -> mGateway.pollCount(LATER) >= 1);
+            awaitDecisions(TERM_MS);
+            assertThat(mGateway.mStarts).hasValue(0);
+            mExecutor.execute(first::stop);
+            startSession(0, new Term(2, 20, 1, mClock));
+            awaitDecisions(1_500);
+            assertThat(mGateway.mStarts).as("starts before the lease may have ended").hasValue(0);
+            awaitDecisions(TERM_MS - 1_500);
+            assertThat(mGateway.mStarts).hasValue(1);
+        }
+    }
+
+    private void awaitDecisions() throws InterruptedException {
+        awaitDecisions(1_000);
+    }
+
+    /** Lets the session decide each 100 ms, with time for its calls between. */
+    private void awaitDecisions(long durationMs) throws InterruptedException {
+        for (long ms = 0; ms < durationMs; ms += 100) {
+            mClock.advance(100);
+            CountDownLatch ran = new CountDownLatch(1);
+            mExecutor.execute(ran::countDown);
+            assertThat(ran.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)).isTrue();
+            Thread.sleep(10);
         }
     }
 
@@ -211,6 +254,29 @@
         private volatile boolean mListsEvacuations = true;
         private volatile boolean mEvacuated;
 
+        /** The keys that were written; null if commits get no response. */
+        private volatile Map<String, KeyValue> mWritten;
+
+        private long mRevision = 100;
+
+        private void applyCommits() {
+            mWritten = new ConcurrentHashMap<>();
+        }
+
+        /** Adds the record of a run of the job on a worker without an entry. */
+        private void addRun(String worker) {
+            TaskProgress task =
+                    new TaskProgress(0, 0, 0, 1, 0, 0, false, new WorkerId(worker), BORN_MS, "");
+            put(
+                    StoreKeys.progressKey(new JobId("j1")),
+                    ByteString.copyFromUtf8(
+                            Json.write(new ProgressRecord(WorkState.ACTIVE, List.of(task)))));
+        }
+
+        private void put(String key, ByteString value) {
+            mWritten.put(key, new KeyValue(key, value, ++mRevision, 0));
+        }
+
         private void register(String worker) {
             KeyValue entry = new KeyValue(WORKER_PREFIX + worker, ByteString.EMPTY, 2, 0);
             mWorkerWatch.complete(new WatchResponse(List.of(new Change(entry.key(), entry)), 2));
@@ -248,6 +314,11 @@
                                 1,
                                 0));
             }
+            if (mWritten != null) {
+                mWritten.values().stream()
+                        .filter(kv -> kv.key().startsWith(prefix))
+                        .forEach(page::add);
+            }
             return CompletableFuture.completedFuture(new Page(page, "", 1));
         }
 
@@ -266,13 +337,18 @@
 
         @Override
         public CompletableFuture<Optional<KeyValue>> read(String key) {
-            return CompletableFuture.completedFuture(Optional.empty());
+            return CompletableFuture.completedFuture(
+                    Optional.ofNullable(mWritten == null ? null : mWritten.get(key)));
         }
 
         @Override
         public CompletableFuture<CommitResult> commit(Transaction transaction) {
             mCommits.incrementAndGet();
-            return new CompletableFuture<>();
+            if (mWritten == null) {
+                return new CompletableFuture<>();
+            }
+            transaction.puts().forEach(put -> put(put.key(), put.value()));
+            return CompletableFuture.completedFuture(new CommitResult.Committed(mRevision));
         }
 
         @Override
@@ -373,6 +449,9 @@
         public CompletableFuture<PollReply> poll(
                 WorkerEndpoint endpoint, long acknowledgedEnd, long leaseUntilMs, long waitMs) {
             mPolls.merge(endpoint.workerId(), 1, Integer::sum);
+            if (endpoint.workerId().value().equals(SILENT)) {
+                return CompletableFuture.completedFuture(new PollReply(OrderAnswer.UNKNOWN, null));
+            }
             WorkerRuns runs = new WorkerRuns(BORN_MS, BORN_MS, List.of(), List.of(), true);
             return CompletableFuture.completedFuture(new PollReply(OrderAnswer.ACCEPTED, runs));
         }
