--- a/scheduler/src/main/java/org/lycheeroad/scheduler/StoreKeys.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/StoreKeys.java
@@ -10,6 +10,9 @@
     /** The key of the current owner, attached to its lease. */
     public static final String OWNER = "lycheeroad/owner";
 
+    /** The key of the record of silent workers, which the owner writes. */
+    public static final String SILENT_WORKERS = "lycheeroad/silent-workers";
+
     /** The prefix of the keys of accepted jobs and their cancellations. */
     public static final String INTAKE_PREFIX = "lycheeroad/in/";
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -89,11 +89,14 @@
     private final JobScheduler mScheduler;
     private final ProgressSaver mSaver;
     private final RecordCleaner mCleaner;
+    private final SilentWorkerRecorder mSilentWorkers;
     private final Map<WorkerId, WorkerSession> mWorkerSessions = new LinkedHashMap<>();
     private final Map<JobId, ProgressRecord> mLoadedProgress = new HashMap<>();
     private final Set<JobId> mCancelled = new HashSet<>();
     private final List<PrefixWatch> mWatches = new ArrayList<>();
     private final Set<FailureDomainId> mEvacuatedDomains = new HashSet<>();
+    private boolean mSilentWorkersLoaded;
+    private boolean mProgressLoaded;
     private boolean mJobsLoaded;
 
     /** Whether the requested evacuations are known, so that runs may start. */
@@ -148,12 +151,14 @@
                                 settings.overloadTriage()));
         mSaver = new ProgressSaver(store, executor, term, new SaverListener());
         mCleaner = new RecordCleaner(store, executor, term, events);
+        mSilentWorkers = new SilentWorkerRecorder(store, executor, term, clock, onSuperseded);
         mEvacuationsLoaded = settings.evacuationMs() == 0;
         mEarlierLeasesExpiredAtMs =
                 WorkerSession.latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs());
     }
 
     void start() {
+        loadSilentWorkers();
         loadProgress("");
     }
 
@@ -161,6 +166,7 @@
         mStopped = true;
         mMetrics.setEvacuatedDomainCount(0);
         mSaver.stop();
+        mSilentWorkers.stop();
         mWatches.forEach(PrefixWatch::stop);
         mWorkerSessions.values().forEach(WorkerSession::stop);
     }
@@ -239,6 +245,7 @@
     private void makeDecisions() {
         mWorkerSessions.values().forEach(WorkerSession::checkLeaseExpiry);
         expireLeasesOfAbsentWorkers();
+        recordSilentWorkers();
         removeDepartedWorkers();
         mScheduler.runDecisionRound(mClock.monotonicMs(), mClock.wallMs());
         sendOrders();
@@ -273,14 +280,30 @@
      */
     private void expireLeasesOfAbsentWorkers() {
         long nowMs = mClock.monotonicMs();
-        if (nowMs > mEarlierLeasesExpiredAtMs) {
-            for (WorkerId id : mScheduler.workersWithRuns()) {
-                if (!mWorkerSessions.containsKey(id)) {
-                    mEvents.record(EventCode.WORKER_LAPSED, "", "worker=" + id + " absent=true");
-                    mScheduler.onLeaseExpired(id, nowMs);
-                }
+        for (WorkerId id : mScheduler.workersWithRuns()) {
+            if (!mWorkerSessions.containsKey(id) && nowMs > leasesOfAbsentWorkerExpiredAtMs(id)) {
+                mEvents.record(EventCode.WORKER_LAPSED, "", "worker=" + id + " absent=true");
+                mScheduler.onLeaseExpired(id, nowMs);
+            }
+        }
+    }
+
+    private long leasesOfAbsentWorkerExpiredAtMs(WorkerId id) {
+        return mSilentWorkers.earlierLeasesExpiredAtMs(id, mEarlierLeasesExpiredAtMs);
+    }
+
+    /** Lets the next owner know for how long the leases of silent workers still last. */
+    private void recordSilentWorkers() {
+        Map<WorkerId, Long> expiredAtMs = new HashMap<>();
+        for (WorkerId id : mScheduler.workersWithRuns()) {
+            WorkerSession session = mWorkerSessions.get(id);
+            if (session == null) {
+                expiredAtMs.put(id, leasesOfAbsentWorkerExpiredAtMs(id));
+            } else {
+                session.silentUntilMs().ifPresent(ms -> expiredAtMs.put(id, ms));
             }
         }
+        mSilentWorkers.update(expiredAtMs);
     }
 
     private void removeDepartedWorkers() {
@@ -438,11 +461,43 @@
                     if (page.hasMore()) {
                         loadProgress(page.nextAfterKey());
                     } else {
-                        watchJobsAndWorkers();
+                        mProgressLoaded = true;
+                        watchIfLoaded();
                     }
                 });
     }
 
+    private void loadSilentWorkers() {
+        mExecutor.whenComplete(
+                mStore.read(StoreKeys.SILENT_WORKERS),
+                (record, e) -> {
+                    if (mStopped) {
+                        return;
+                    }
+                    if (e != null) {
+                        mExecutor.schedule(SAVE_DELAY_MS, this::loadSilentWorkers);
+                        return;
+                    }
+                    record.ifPresent(this::loadSilentWorkers);
+                    mSilentWorkersLoaded = true;
+                    watchIfLoaded();
+                });
+    }
+
+    private void loadSilentWorkers(KeyValue record) {
+        try {
+            mSilentWorkers.onLoaded(record);
+        } catch (JsonException e) {
+            recordUnreadableValue(record.key(), e.getMessage());
+        }
+    }
+
+    private void watchIfLoaded() {
+        if (mSilentWorkersLoaded && mProgressLoaded) {
+            watchJobsAndWorkers();
+        }
+    }
+
     private void loadProgressRecord(KeyValue keyValue) {
         JobId id = StoreKeys.jobIdOf(keyValue.key());
         mSaver.onLoaded(id, keyValue.revision());
@@ -661,6 +716,7 @@
                             mClock,
                             mEvents,
                             mMetrics,
+                            mSilentWorkers,
                             mOnSuperseded));
         }
 
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -1,5 +1,6 @@
 package org.lycheeroad.scheduler.owner;
 
+import java.util.OptionalLong;
 import org.lycheeroad.coordination.jobs.JobAction;
 import org.lycheeroad.coordination.jobs.JobScheduler;
 import org.lycheeroad.coordination.jobs.OrderAnswer;
@@ -64,6 +65,7 @@
     private final Clock mClock;
     private final EventRecorder mEvents;
     private final NodeMetrics mMetrics;
+    private final SilentWorkerRecorder mSilentWorkers;
     private final Runnable mOnFenced;
 
     private WorkerStatus mEntry;
@@ -122,6 +124,7 @@
             Clock clock,
             EventRecorder events,
             NodeMetrics metrics,
+            SilentWorkerRecorder silentWorkers,
             Runnable onFenced) {
         mEntry = entry;
         mGateway = gateway;
@@ -132,10 +135,14 @@
         mClock = clock;
         mEvents = events;
         mMetrics = metrics;
+        mSilentWorkers = silentWorkers;
         mOnFenced = onFenced;
         mLeavesAtMs = earliestDepartureMs(entry);
         // An earlier owner may have extended the lease until the end of its term.
-        mLeasesExpiredAtMs = latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs());
+        mLeasesExpiredAtMs =
+                silentWorkers.earlierLeasesExpiredAtMs(
+                        entry.id(),
+                        latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs()));
     }
 
     WorkerId id() {
@@ -190,6 +197,20 @@
         }
     }
 
+    /**
+     * Returns when all leases have ended if the worker may have runs and no lease was granted for
+     * some time, because it does not answer.
+     */
+    OptionalLong silentUntilMs() {
+        boolean silent = mUnreachable || !mWorkerClockKnown;
+        long longestMs = latestLeaseExpiryMs(mClock.monotonicMs(), mSettings.maxWorkerLeaseMs());
+        return silent
+                        && longestMs - mLeasesExpiredAtMs > RECENT_RESPONSE_MS
+                        && mScheduler.mayHaveRuns(mEntry.id())
+                ? OptionalLong.of(mLeasesExpiredAtMs)
+                : OptionalLong.empty();
+    }
+
     /** Records the expiry of the leases once, as runs may outlast them on a restarted worker. */
     private void recordLapse(long nowMs) {
         if (!mLapseRecorded) {
@@ -212,7 +233,8 @@
         long sentAtMs = mClock.monotonicMs();
         if (!mTerm.isLeaseValid()
                 || start.workerIncarnation() != mEntry.incarnationStartMs()
-                || !mWorkerClockKnown) {
+                || !mWorkerClockKnown
+                || !mSilentWorkers.mayGrantLease(mEntry.id())) {
             // No order is sent; on EXPIRED the scheduler tries the run again.
             mScheduler.onStartAnswer(
                     mEntry.id(), start.run(), OrderAnswer.EXPIRED, mClock.monotonicMs());
@@ -296,7 +318,11 @@
     private void poll(long nowMs) {
         boolean hasRuns = mScheduler.mayHaveRuns(mEntry.id());
         // The lease of an unreachable worker is not extended, so that its runs can start elsewhere.
-        boolean extendLease = hasRuns && mWorkerClockKnown && !mUnreachable;
+        boolean extendLease =
+                hasRuns
+                        && mWorkerClockKnown
+                        && !mUnreachable
+                        && mSilentWorkers.mayGrantLease(mEntry.id());
         if (extendLease) {
             mLeasesExpiredAtMs = Math.max(mLeasesExpiredAtMs, latestLeaseExpiryMs(nowMs));
         }
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
@@ -147,6 +147,21 @@
         assertThat(explore(allBut(Fault.IDLE_PHASES), 10_764, 1)).isEmpty();
     }
 
+    /**
+     * Guards against tasks that start elsewhere too early, as the next owner goes on with the wait
+     * for the leases of a silent worker.
+     */
+    @Test
+    void rulesHoldWhenOwnersShareTheWaitForLeases() {
+        List<String> violations = new ArrayList<>();
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
+            WorkerFaultSimulation simulation =
+                    new WorkerFaultSimulation(seed, allBut(Fault.RESTARTS), Defect.NONE, false);
+            violations.addAll(simulation.withSilentWorkerRecord().run());
+        }
+        assertThat(violations).isEmpty();
+    }
+
     /** Each injected defect must be detected; otherwise the simulation would prove nothing. */
     @Nested
     class InjectedDefects {
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultSimulation.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultSimulation.java
@@ -1,5 +1,6 @@
 package org.lycheeroad.scheduler.owner;
 
+import com.google.protobuf.ByteString;
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -22,11 +23,16 @@
 import org.lycheeroad.coordination.jobs.JobScheduler.UnsavedProgress;
 import org.lycheeroad.coordination.jobs.OrderAnswer;
 import org.lycheeroad.coordination.jobs.SchedulerSettings;
+import org.lycheeroad.protocol.json.JsonException;
 import org.lycheeroad.scheduler.NodeSettings;
 import org.lycheeroad.scheduler.SerialExecutor;
+import org.lycheeroad.scheduler.StoreKeys;
 import org.lycheeroad.scheduler.log.EventRecorder;
 import org.lycheeroad.scheduler.log.NodeMetrics;
 import org.lycheeroad.scheduler.port.Clock;
+import org.lycheeroad.scheduler.port.MetadataStore.CommitResult;
+import org.lycheeroad.scheduler.port.MetadataStore.KeyValue;
+import org.lycheeroad.scheduler.port.MetadataStore.Transaction;
 import org.lycheeroad.scheduler.port.WorkerGateway;
 import org.lycheeroad.state.id.EntryId;
 import org.lycheeroad.state.id.FailureDomainId;
@@ -183,9 +189,19 @@
                                 false));
         private final Map<WorkerId, WorkerSession> mSessions = new LinkedHashMap<>();
         private final Map<JobId, Long> mSavedVersions = new HashMap<>();
-        private final Term mTerm = new Term(++mEpoch, 1, 1, mClock);
+        private final Term mTerm = new Term(++mEpoch, mEpoch, 1, mClock);
+        private final SilentWorkerRecorder mSilentWorkers =
+                new SilentWorkerRecorder(
+                        mSilentWorkerStore, mExecutor, mTerm, mClock, this::onSuperseded);
 
         Owner() {
+            if (mSilentWorkerStore.mRecord != null) {
+                try {
+                    mSilentWorkers.onLoaded(mSilentWorkerStore.mRecord);
+                } catch (JsonException e) {
+                    mViolations.add("MODEL: " + e.getMessage());
+                }
+            }
             mTerm.extendLease(Long.MAX_VALUE, Term.wallClockOffsetMs(mClock));
             mScheduler.onConfig(CONFIG);
             mAcceptedJobs.forEach(
@@ -218,20 +234,30 @@
                             mClock,
                             mRecorder,
                             METRICS,
-                            () -> {
-                                if (mOwner == this) {
-                                    mViolations.add("MODEL: the current owner is fenced off");
-                                }
-                            }));
+                            mSilentWorkers,
+                            this::onSuperseded));
+        }
+
+        private void onSuperseded() {
+            if (mOwner == this) {
+                mViolations.add("MODEL: the current owner is fenced off");
+            }
         }
 
         void stop() {
+            mSilentWorkers.stop();
             mSessions.values().forEach(WorkerSession::stop);
         }
 
         /** As the owner session of production does it. */
         void pass() {
             mSessions.values().forEach(WorkerSession::checkLeaseExpiry);
+            Map<WorkerId, Long> silent = new HashMap<>();
+            mSessions.forEach(
+                    (id, session) -> session.silentUntilMs().ifPresent(ms -> silent.put(id, ms)));
+            if (mRecordsSilentWorkers) {
+                mSilentWorkers.update(silent);
+            }
             mScheduler.runDecisionRound(mNowMs, mNowMs + WALL_OFFSET_MS);
             for (JobAction action : mScheduler.takeActions()) {
                 trace("owner", action);
@@ -270,6 +296,64 @@
         }
     }
 
+    /** Holds the record of silent workers; some commits get no answer and are carried out late. */
+    private final class SilentWorkerStore extends ScriptedStore {
+        private static final double UNANSWERED_SHARE = 0.2;
+        private static final int MAX_LATENCY_MS = 60;
+        private static final int MAX_LATE_MS = 3_000;
+
+        /**
+         * Separate, so that the other faults of a seed are the same with and without the record.
+         */
+        private final Random mStoreRandom;
+
+        private KeyValue mRecord;
+        private long mRevision;
+
+        SilentWorkerStore(long seed) {
+            mStoreRandom = new Random(seed);
+        }
+
+        @Override
+        public synchronized CompletableFuture<CommitResult> commit(Transaction transaction) {
+            CompletableFuture<CommitResult> result = new CompletableFuture<>();
+            boolean answered = mStoreRandom.nextDouble() >= UNANSWERED_SHARE;
+            schedule(
+                    mStoreRandom.nextInt(answered ? MAX_LATENCY_MS : MAX_LATE_MS),
+                    () -> {
+                        CommitResult done = apply(transaction);
+                        if (answered) {
+                            result.complete(done);
+                        }
+                    });
+            if (!answered) {
+                schedule(
+                        REQUEST_TIMEOUT_MS,
+                        () -> result.completeExceptionally(new IllegalStateException("no answer")));
+            }
+            return result;
+        }
+
+        private CommitResult apply(Transaction transaction) {
+            KeyValue owner = new KeyValue(StoreKeys.OWNER, ByteString.EMPTY, mEpoch, 0);
+            long revision = mRecord == null ? 0 : mRecord.revision();
+            if (transaction.conditions().get(0).revision() != mEpoch
+                    || transaction.conditions().get(1).revision() != revision) {
+                Map<String, KeyValue> current = new HashMap<>();
+                current.put(StoreKeys.OWNER, owner);
+                current.put(StoreKeys.SILENT_WORKERS, mRecord);
+                return new CommitResult.Conflict(current);
+            }
+            mRecord =
+                    new KeyValue(
+                            StoreKeys.SILENT_WORKERS,
+                            transaction.puts().get(0).value(),
+                            ++mRevision,
+                            0);
+            return new CommitResult.Committed(mRevision);
+        }
+    }
+
     /** Carries calls to the simulated workers. */
     private final class SimulatedGateway implements WorkerGateway {
         @Override
@@ -378,11 +462,17 @@
     private final Set<JobId> mCancelledJobs = new HashSet<>();
     private final Map<JobId, ProgressRecord> mSavedProgress = new HashMap<>();
     private final Map<TaskRef, List<Success>> mSuccesses = new HashMap<>();
+    private final SilentWorkerStore mSilentWorkerStore;
+
+    /** Off by default, as seeds of earlier faults lead to them only without it. */
+    private boolean mRecordsSilentWorkers;
+
     private long mEpoch;
     private Owner mOwner;
 
     WorkerFaultSimulation(long seed, Set<Fault> faults, Defect defect, boolean traced) {
         mRandom = new Random(seed);
+        mSilentWorkerStore = new SilentWorkerStore(seed);
         mFaults = faults.isEmpty() ? EnumSet.noneOf(Fault.class) : EnumSet.copyOf(faults);
         mDefect = defect;
         mTraced = traced;
@@ -396,6 +486,12 @@
         }
     }
 
+    /** Lets owners tell the next ones for how long the leases of silent workers last. */
+    WorkerFaultSimulation withSilentWorkerRecord() {
+        mRecordsSilentWorkers = true;
+        return this;
+    }
+
     /** Returns what happened, if the simulation is traced. */
     List<String> trace() {
         return mTrace;
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -116,6 +116,8 @@
                         mClock,
                         new EventRecorder(mEvents),
                         new NodeMetrics(),
+                        new SilentWorkerRecorder(
+                                new ScriptedStore(), mExecutor, term, mClock, () -> {}),
                         () -> {});
         mExecutor.start();
         mExecutor.execute(mSession::pollIfDue);
