--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -175,6 +175,25 @@
                 .isLessThanOrEqualTo(WORKER_CLOCK_MS + mTermEndsAtMs - readAtMs + MAX_LEASE_MS);
     }
 
+    /**
+     * Guards against runs that hold up their gangs for a lease, although another process answers at
+     * the worker's address (LOST).
+     */
+    @Test
+    void runsAreOverOnceAnotherWorkerAnswersAtTheAddress() throws Exception {
+        mGateway.answerNextPoll(List.of());
+        run(
+                () -> {
+                    issueStart();
+                    sendStarts();
+                    mSession.pollIfDue();
+                });
+        assertThat(mScheduler.mayHaveRuns(WORKER)).isTrue();
+        mGateway.replyToNextPoll(new WorkerGateway.PollReply(OrderAnswer.REPLACED, null));
+        awaitSession();
+        assertThat(mScheduler.mayHaveRuns(WORKER)).isFalse();
+    }
+
     /** The worker's clock is slow, and was read for the last time a minute ago. */
     @Nested
     class LeaseOutlivesTheOwnersBound {
