--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -196,6 +196,14 @@
         }
     }
 
+    /** Handles an answer by another process at a worker's address, which ends all its runs. */
+    public void onWorkerReplaced(WorkerId id, long nowMs) {
+        Worker worker = mState.workers.get(id);
+        if (worker != null) {
+            mTracker.onWorkerReplaced(worker, nowMs);
+        }
+    }
+
     /** Applies a worker's run report, which was requested at {@code requestedAtMs}. */
     public void onRunReport(WorkerId id, WorkerRuns runs, long requestedAtMs, long nowMs) {
         Worker worker = mState.workers.get(id);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -192,6 +192,13 @@
         }
     }
 
+    /** Removes the runs of a worker at whose address another process answers. */
+    void onWorkerReplaced(Worker worker, long nowMs) {
+        for (Run run : new ArrayList<>(worker.runs.values())) {
+            onLost(run, DroppedRun.Cause.WORKER_REPLACED, nowMs);
+        }
+    }
+
     /**
      * Returns the time until which a new incarnation of a silent worker may run a run by calls to
      * an earlier one. Such a call extends leases from its arrival, as the time that it carries is
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -391,6 +391,9 @@
         } else if (answer == OrderAnswer.FENCED) {
             mOnFenced.run();
         } else {
+            if (answer == OrderAnswer.REPLACED && bornMs == mEntry.incarnationStartMs()) {
+                mScheduler.onWorkerReplaced(mEntry.id(), nowMs);
+            }
             onNoResponse(answer, nowMs);
         }
         pollIfDue();
