--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
@@ -19,6 +19,7 @@
 import org.lycheeroad.state.id.WorkerId;
 import org.lycheeroad.state.work.ProgressRecord;
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
+import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.StepPlan;
@@ -347,6 +348,27 @@
         }
     }
 
+    /** Jobs whose queue the configuration no longer has. */
+    @Nested
+    class RemovedQueues {
+        private final QueueName mRemoved = new QueueName("removed");
+
+        /** Guards against a job that is shown as failed although it may have further attempts. */
+        @Test
+        void jobWithUnknownSettingsDoesNotEndByOneFailure() {
+            mFixture.addWorkerEntry("w1", "r1");
+            mFixture.submit(
+                    "j1",
+                    mRemoved,
+                    new ProgressRecord(WorkState.ACTIVE, List.of(progress(0, "w1"))),
+                    step(1, 1, 1_000).build());
+            reportRunning("w1", 0);
+            mFixture.report("w1", List.of(), List.of(ended(1, run(0), RunOutcome.FAILED)));
+            mFixture.saveAll();
+            assertThat(mFixture.scheduler.stateOf(JOB)).hasValue(WorkState.ACTIVE);
+        }
+    }
+
     private void reportRunning(String worker, int index) {
         mFixture.report(worker, List.of(new ActiveRun(run(index), "", 10, 0)), List.of());
     }
--- a/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
+++ b/standins/src/main/java/org/lycheeroad/standins/platform/PlatformStandIn.java
@@ -92,7 +92,7 @@
 
     /** Writes a new version of the configuration in which the given API key is the only one. */
     public void writeConfig(String apiKey) {
-        ObjectNode config = mMapper.createObjectNode().put("version", mNextConfigVersion++);
+        ObjectNode config = newConfig(apiKey);
         ArrayNode routes = config.putArray("routes");
         putRoute(routes.addObject(), "q-1", PATH_PREFIX);
         putRoute(routes.addObject(), "q-2", ADVISED_PATH_PREFIX)
@@ -100,11 +100,21 @@
                 .put("decide_ms", 20)
                 .put("period_ms", 1)
                 .put("valid_ms", 3_000);
+        mStore.write("op/config", config.toString());
+    }
+
+    /** Writes a new version of the configuration that has no queue. */
+    public void writeConfigWithoutQueues() {
+        mStore.write("op/config", newConfig(API_KEY).toString());
+    }
+
+    private ObjectNode newConfig(String apiKey) {
+        ObjectNode config = mMapper.createObjectNode().put("version", mNextConfigVersion++);
         config.putArray("services").addObject().put("name", SERVICE);
         ObjectNode tenant = config.putArray("tenants").addObject().put("name", "team-1");
         tenant.putArray("api_keys").add(apiKey);
         tenant.putObject("guaranteed").put("gpu", 8);
-        mStore.write("op/config", config.toString());
+        return config;
     }
 
     /** Returns the store. */
--- a/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
+++ b/system-tests/src/test/java/org/lycheeroad/systemtests/platform/PlatformDaemonTest.java
@@ -490,6 +490,21 @@
             }
         }
 
+        /** Guards against a job that stands still because its queue was removed meanwhile. */
+        @Test
+        void newOwnerStartsTheNextStepOfARemovedQueue() throws Exception {
+            try (PlatformFixture fixture = new PlatformFixture(1, 2)) {
+                int owner = fixture.awaitOwner();
+                String next = ONE_TASK_PHASE.replace("}", ",\"after\":[0]}");
+                fixture.submit(owner, jobId(1), "ms=3000", ONE_TASK_PHASE + "," + next);
+                await("the job runs", () -> fixture.platform.recorder().startCount() == 1);
+                fixture.platform.writeConfigWithoutQueues();
+                await("the queue is gone", () -> fixture.get(1 - owner, "").status() == 404);
+                fixture.daemons.get(owner).stopNow();
+                await("the next step runs", () -> fixture.platform.recorder().startCount() == 2);
+            }
+        }
+
         /**
          * Guards against an owner that keeps the ownership until its lease ends although the store
          * turns only this VM away: no job starts meanwhile.
