--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Job.java
@@ -7,7 +7,7 @@
 import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.ProgressRecord;
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
-import org.lycheeroad.state.work.QueueConfig;
+import org.lycheeroad.state.work.QueueSettings;
 import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.WorkState;
 
@@ -22,8 +22,11 @@
     /** The step instances of the occurrences that have come due, by occurrence number. */
     public final TreeMap<Integer, List<StepInstance>> occurrences = new TreeMap<>();
 
-    /** The job's queue in the newest configuration that defines it. */
-    public QueueConfig queue;
+    /**
+     * The settings of the job's queue in the newest configuration that has it, as far as this owner
+     * knows, or else those at the time of the acceptance.
+     */
+    public QueueSettings queue;
 
     public WorkState state = WorkState.QUEUED;
 
@@ -39,7 +42,7 @@
      */
     private int mNextOccurrence;
 
-    Job(JobId id, JobRecord record, QueueConfig queue, long acceptedAt) {
+    Job(JobId id, JobRecord record, QueueSettings queue, long acceptedAt) {
         this.id = id;
         this.record = record;
         this.queue = queue;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -18,10 +18,10 @@
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.QueueConfig;
 import org.lycheeroad.state.work.QueueName;
+import org.lycheeroad.state.work.QueueSettings;
 import org.lycheeroad.state.work.Resources;
 import org.lycheeroad.state.work.RunRef;
 import org.lycheeroad.state.work.ServiceLoad;
-import org.lycheeroad.state.work.ServiceName;
 import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerRuns;
@@ -78,7 +78,7 @@
     public void onConfig(ClusterConfig config) {
         mState.config = config;
         for (Job job : mState.activeJobs.values()) {
-            config.queue(job.record.queue()).ifPresent(queue -> job.queue = queue);
+            config.queue(job.record.queue()).ifPresent(queue -> job.queue = queue.settings());
         }
     }
 
@@ -100,9 +100,7 @@
         if (mState.findJob(id) != null) {
             return;
         }
-        QueueConfig queue =
-                mState.config.queue(record.queue()).orElseGet(() -> placeholderQueue(record));
-        Job job = new Job(id, record, queue, nowMs - ageMs);
+        Job job = new Job(id, record, queueSettings(record), nowMs - ageMs);
         if (progress != null && progress.state().isEnded()) {
             job.state = progress.state();
             job.endedAtMs = nowMs;
@@ -121,7 +119,7 @@
     /** Adds an accepted job whose end is saved and of which no run may exist any more. */
     public void onEndedJob(JobId id, WorkState state, long nowMs) {
         if (mState.findJob(id) == null) {
-            Job job = new Job(id, ENDED_JOB, placeholderQueue(ENDED_JOB), nowMs);
+            Job job = new Job(id, ENDED_JOB, QueueSettings.UNKNOWN, nowMs);
             job.state = state;
             job.endedAtMs = nowMs;
             mState.endedJobs.put(id, job);
@@ -497,18 +495,12 @@
         }
     }
 
-    /** Returns settings for a job whose queue is missing in the configuration. */
-    private static QueueConfig placeholderQueue(JobRecord record) {
-        return new QueueConfig(
-                record.queue(),
-                "",
-                "",
-                new ServiceName(""),
-                Integer.MAX_VALUE,
-                1,
-                1,
-                0,
-                false,
-                null);
+    /** Returns the settings of a job's queue, even if the configuration no longer has the queue. */
+    private QueueSettings queueSettings(JobRecord record) {
+        return mState.config
+                .queue(record.queue())
+                .map(QueueConfig::settings)
+                .or(() -> Optional.ofNullable(record.settings()))
+                .orElse(QueueSettings.UNKNOWN);
     }
 }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/TakeoverTest.java
@@ -17,11 +17,16 @@
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.id.WorkerId;
+import org.lycheeroad.state.work.ClusterConfig;
+import org.lycheeroad.state.work.JobPlan;
+import org.lycheeroad.state.work.JobRecord;
 import org.lycheeroad.state.work.ProgressRecord;
 import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
+import org.lycheeroad.state.work.QueueConfig;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.RunOutcome;
 import org.lycheeroad.state.work.RunRef;
+import org.lycheeroad.state.work.ServiceName;
 import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.WorkState;
@@ -367,6 +372,27 @@
             mFixture.saveAll();
             assertThat(mFixture.scheduler.stateOf(JOB)).hasValue(WorkState.ACTIVE);
         }
+
+        /** Guards against a job that stands still until its queue is back. */
+        @Test
+        void storedSettingsApplyUntilTheConfigurationHasTheQueue() {
+            mFixture.addWorker("w1", "r1");
+            QueueConfig queue = JobSchedulerFixture.config().queue(BULK).orElseThrow();
+            JobPlan plan = new JobPlan("spec", List.of(step(1, 1, 1_000).build()), 0, 0, 0);
+            JobRecord record =
+                    new JobRecord(mRemoved, JobSchedulerFixture.TEAM, plan, 0, queue.settings());
+            mFixture.scheduler.onJob(JOB, record, null, 0, mFixture.nowMs);
+            QueueConfig moved =
+                    new QueueConfig(
+                            mRemoved, "h", "/", new ServiceName("other"), 1, 1, 3, 0, true, null);
+            mFixture.scheduler.onConfig(new ClusterConfig(2, List.of(moved), List.of()));
+            assertThat(starts(mFixture.runRound())).isEmpty();
+
+            JobSchedulerFixture next = new JobSchedulerFixture();
+            next.addWorker("w1", "r1");
+            next.scheduler.onJob(JOB, record, null, 0, next.nowMs);
+            assertThat(starts(next.runRound())).hasSize(1);
+        }
     }
 
     private void reportRunning(String worker, int index) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/intake/JobApi.java
@@ -110,7 +110,12 @@
     private CompletableFuture<ApiResponse> store(
             ApiRequest request, AdmissionRequest job, String basis) {
         JobRecord record =
-                new JobRecord(job.queue().name(), job.team(), job.plan(), mClock.wallMs());
+                new JobRecord(
+                        job.queue().name(),
+                        job.team(),
+                        job.plan(),
+                        mClock.wallMs(),
+                        job.queue().settings());
         mLoadGate.onWrite(job.id());
         return writeWithRetries(
                         request,
--- a/state/src/main/java/org/lycheeroad/state/work/QueueConfig.java
+++ b/state/src/main/java/org/lycheeroad/state/work/QueueConfig.java
@@ -23,6 +23,12 @@
         long targetLatencyMs,
         boolean anonymous,
         AdviceTiming advice) {
+    /** Returns what the scheduler needs to know of the queue. */
+    public QueueSettings settings() {
+        return new QueueSettings(
+                service, priority, maxAttempts, slackFactor, targetLatencyMs, advice);
+    }
+
     /**
      * The timing of a placement policy.
      *
