--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ScriptedStore.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/ScriptedStore.java
@@ -7,7 +7,7 @@
 import org.lycheeroad.scheduler.port.MetadataStore;
 
 /** A store whose commits are completed by the test. */
-final class ScriptedStore implements MetadataStore {
+class ScriptedStore implements MetadataStore {
     /** A commit that is not completed yet. */
     record PendingCommit(Transaction transaction, CompletableFuture<CommitResult> result) {}
 
