--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Election.java
@@ -163,7 +163,10 @@
                         endTerm("superseded");
                         mExecutor.whenComplete(
                                 mStore.revokeLease(term.leaseId()),
-                                (revoked, e) -> scheduleCampaignIfVacant());
+                                (revoked, e) -> {
+                                    forgetOwner(term);
+                                    scheduleCampaignIfVacant();
+                                });
                     }
                 });
     }
@@ -326,6 +329,16 @@
         mListener.onTermEnded(term);
     }
 
+    /**
+     * Forgets the owner if it is still the one of an ended term, since the deletion of its key may
+     * have been seen and ignored during the term. A campaign fails while another owner has the key.
+     */
+    private void forgetOwner(Term term) {
+        if (mOwner.filter(o -> isThisProcess(o) && o.epoch() == term.epoch()).isPresent()) {
+            mOwner = Optional.empty();
+        }
+    }
+
     private final class OwnerKeyListener implements PrefixWatch.Listener {
         @Override
         public void onUpToDate(long revision) {
