--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -36,6 +36,8 @@
 import org.lycheeroad.state.work.ClusterConfig;
 import org.lycheeroad.state.work.JobPlan;
 import org.lycheeroad.state.work.JobRecord;
+import org.lycheeroad.state.work.ProgressRecord;
+import org.lycheeroad.state.work.ProgressRecord.TaskProgress;
 import org.lycheeroad.state.work.QueueConfig;
 import org.lycheeroad.state.work.QueueName;
 import org.lycheeroad.state.work.Resources;
@@ -45,6 +47,7 @@
 import org.lycheeroad.state.work.StepPlan;
 import org.lycheeroad.state.work.TaskRef;
 import org.lycheeroad.state.work.TeamConfig;
+import org.lycheeroad.state.work.WorkState;
 import org.lycheeroad.state.work.WorkerRuns;
 import org.lycheeroad.state.work.WorkerRuns.EndedRun;
 import org.lycheeroad.state.work.WorkerStatus;
@@ -56,6 +59,17 @@
     private static final long BORN_MS = 1_000;
     private static final ServiceName SERVICE = new ServiceName("service");
     private static final long RESTARTED_BORN_MS = 5_000;
+    private static final WorkerStatus ENTRY =
+            new WorkerStatus(
+                    WORKER,
+                    BORN_MS,
+                    ADDRESS,
+                    SERVICE,
+                    false,
+                    0,
+                    new Resources(1_000, 1_000, 1),
+                    Set.of(),
+                    new RackId("r1"));
 
     /** The longest time for which a call without an answer may be on its way. */
     private static final long MAX_CALL_DELAY_MS = 15_000;
@@ -74,6 +88,9 @@
 
     private static final long PAUSE_MS = 5_000;
 
+    /** The latest end of a lease on a slow clock, with the margin. */
+    private static final long LEASE_EXPIRY_MS = 6_600;
+
     private static final int MAX_STEPS = 500;
 
     /** Several times the time between two polls of the session. */
@@ -87,40 +104,32 @@
     private final JobScheduler mScheduler =
             new JobScheduler(new SchedulerSettings(3, 2_700, 6_520, 120_000, false));
     private final long mTermEndsAtMs = mClock.monotonicMs() + 100_000;
+    private final Term mTerm = new Term(1, 10, 1, mClock);
     private WorkerSession mSession;
 
     @BeforeEach
     void setUp() {
-        Term term = new Term(1, 10, 1, mClock);
-        term.extendLease(mTermEndsAtMs, Term.wallClockOffsetMs(mClock));
-        WorkerStatus entry =
-                new WorkerStatus(
-                        WORKER,
-                        BORN_MS,
-                        ADDRESS,
-                        SERVICE,
-                        false,
-                        0,
-                        new Resources(1_000, 1_000, 1),
-                        Set.of(),
-                        new RackId("r1"));
-        mScheduler.onWorkerEntry(entry, mClock.monotonicMs());
-        mSession =
-                new WorkerSession(
-                        entry,
-                        mGateway,
-                        mExecutor,
-                        mScheduler,
-                        term,
-                        settings(),
-                        mClock,
-                        new EventRecorder(mEvents),
-                        new NodeMetrics(),
-                        () -> {});
+        mTerm.extendLease(mTermEndsAtMs, Term.wallClockOffsetMs(mClock));
+        mScheduler.onWorkerEntry(ENTRY, mClock.monotonicMs());
+        mSession = newSession();
         mExecutor.start();
         mExecutor.execute(mSession::pollIfDue);
     }
 
+    private WorkerSession newSession() {
+        return new WorkerSession(
+                ENTRY,
+                mGateway,
+                mExecutor,
+                mScheduler,
+                mTerm,
+                settings(),
+                mClock,
+                new EventRecorder(mEvents),
+                new NodeMetrics(),
+                () -> {});
+    }
+
     @AfterEach
     void tearDown() {
         mExecutor.stop();
@@ -268,6 +277,28 @@
         }
     }
 
+    /**
+     * Guards against a run that is kept for a whole lease from the time at which the entry of its
+     * unreachable worker was seen first, although leases of earlier owners have expired before.
+     */
+    @Test
+    void restoredRunIsOverWhenTheEarlierOwnersLeasesHaveExpired() throws Exception {
+        TaskProgress restored = new TaskProgress(0, 0, 0, 1, 0, 0, false, WORKER, BORN_MS, "");
+        run(
+                () -> {
+                    mSession.stop();
+                    submitJob(new ProgressRecord(WorkState.ACTIVE, List.of(restored)));
+                    mClock.advance(PAUSE_MS);
+                    mSession = newSession();
+                    mSession.pollIfDue();
+                });
+        mGateway.failNextPoll();
+        mGateway.failNextPoll();
+        mClock.advance(LEASE_EXPIRY_MS - PAUSE_MS);
+        run(mSession::checkLeaseExpiry);
+        assertThat(onExecutor(() -> mScheduler.mayHaveRuns(WORKER))).isFalse();
+    }
+
     /** Guards against a late acknowledgement that makes a restarted worker forget new ends. */
     @Test
     void restartedWorkerGetsNoRunsWhileAnAcknowledgementCanArrive() throws Exception {
@@ -307,6 +338,10 @@
     }
 
     private boolean submitJob() {
+        return submitJob(null);
+    }
+
+    private boolean submitJob(ProgressRecord progress) {
         QueueName queue = new QueueName("queue");
         TeamId team = new TeamId("team");
         mScheduler.onConfig(
@@ -322,7 +357,7 @@
         mScheduler.onJob(
                 RUN.task().job(),
                 new JobRecord(queue, team, plan, 0),
-                null,
+                progress,
                 0,
                 mClock.monotonicMs());
         return true;
