--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -148,7 +148,7 @@
         mCleaner = new RecordCleaner(store, executor, term, events);
         mEvacuationsLoaded = settings.evacuationMs() == 0;
         mEarlierLeasesExpiredAtMs =
-                WorkerSession.latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs());
+                WorkerSession.latestLeaseExpiryMs(term.beganAtMs(), settings.maxWorkerLeaseMs());
     }
 
     void start() {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Term.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/Term.java
@@ -16,6 +16,7 @@
     private final long mOwnerRevision;
     private final long mLeaseId;
     private final Clock mClock;
+    private final long mBeganAtMs;
     private volatile long mLeaseValidUntilMs;
     private volatile long mWallClockOffsetMs;
     private volatile boolean mEnded;
@@ -25,6 +26,7 @@
         mOwnerRevision = ownerRevision;
         mLeaseId = leaseId;
         mClock = clock;
+        mBeganAtMs = clock.monotonicMs();
     }
 
     /** Returns the epoch, which is the fencing token of all orders of this term. */
@@ -39,6 +41,11 @@
         return mOwnerRevision;
     }
 
+    /** Returns a time by which the terms of all earlier owners had ended. */
+    long beganAtMs() {
+        return mBeganAtMs;
+    }
+
     long leaseId() {
         return mLeaseId;
     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -134,8 +134,9 @@
         mMetrics = metrics;
         mOnFenced = onFenced;
         mLeavesAtMs = earliestDepartureMs(entry);
-        // An earlier owner may have extended the lease until the end of its term.
-        mLeasesExpiredAtMs = latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs());
+        // An earlier owner may have extended the lease until the end of its term, however late in
+        // this term the worker's entry comes.
+        mLeasesExpiredAtMs = latestLeaseExpiryMs(term.beganAtMs(), settings.maxWorkerLeaseMs());
     }
 
     WorkerId id() {
