--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/WorkerIncarnationTest.java
@@ -72,6 +72,18 @@
         assertThat(starts(mFixture.runRound())).hasSize(1);
     }
 
+    /** Guards against a run that is kept for good, as the worker's clock was set back. */
+    @Test
+    void runIsRestartedIfTheNewIncarnationHasAnEarlierTime() {
+        JobAction.Start start = start();
+        mScheduler.onStartAnswer(start.worker(), start.run(), OrderAnswer.ACCEPTED, mFixture.nowMs);
+        mFixture.nowMs += 10;
+        mFixture.report("w1", INCARNATION - 1, List.of(), List.of());
+        assertThat(starts(mFixture.runRound()))
+                .extracting(JobAction.Start::workerIncarnation)
+                .containsExactly(INCARNATION - 1);
+    }
+
     /**
      * Guards against a late start on the new incarnation: it may receive the unanswered order, and
      * it does not know of stops that were sent to the old one.
