--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -154,7 +154,7 @@
         mSilentWorkers = new SilentWorkerRecorder(store, executor, term, clock, onSuperseded);
         mEvacuationsLoaded = settings.evacuationMs() == 0;
         mEarlierLeasesExpiredAtMs =
-                WorkerSession.latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs());
+                WorkerSession.latestLeaseExpiryMs(term.beganAtMs(), settings.maxWorkerLeaseMs());
     }
 
     void start() {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -138,11 +138,12 @@
         mSilentWorkers = silentWorkers;
         mOnFenced = onFenced;
         mLeavesAtMs = earliestDepartureMs(entry);
-        // An earlier owner may have extended the lease until the end of its term.
+        // An earlier owner may have extended the lease until the end of its term, however late in
+        // this term the worker's entry comes.
         mLeasesExpiredAtMs =
                 silentWorkers.earlierLeasesExpiredAtMs(
                         entry.id(),
-                        latestLeaseExpiryMs(clock.monotonicMs(), settings.maxWorkerLeaseMs()));
+                        latestLeaseExpiryMs(term.beganAtMs(), settings.maxWorkerLeaseMs()));
     }
 
     WorkerId id() {
