--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -49,6 +49,7 @@
 
     private final SchedulerSettings mSettings;
     private final ClusterState mState;
+    private final WorkerQuarantine mQuarantine;
     private final RunTracker mTracker;
     private final WorkerEvacuator mEvacuator;
     private final SlowRunMover mSlowRunMover;
@@ -64,7 +65,8 @@
     public JobScheduler(SchedulerSettings settings, SchedulingPolicies policies) {
         mSettings = settings;
         mState = new ClusterState(policies.newEstimator());
-        mTracker = new RunTracker(mState, settings);
+        mQuarantine = new WorkerQuarantine(mState);
+        mTracker = new RunTracker(mState, settings, mQuarantine);
         mEvacuator = new WorkerEvacuator(mState);
         mAdviceRequester = new AdviceRequester(mState);
         SchedulingOrder order = policies.newOrder(mState.durationEstimator);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -24,40 +24,11 @@
     /** The longest time after which a call without an answer can still be carried out. */
     static final long MAX_CALL_DELAY_MS = 15_000;
 
-    /** The first quarantine of a worker on which several steps failed; it doubles each time. */
-    private static final long FIRST_QUARANTINE_MS = 3_000;
-
-    private static final long MAX_QUARANTINE_MS = 24_000;
-
-    /**
-     * The number of steps that must fail on a worker, without a success between, for a quarantine.
-     */
-    private static final int QUARANTINE_FAILED_STEPS = 2;
-
     /**
      * The observed runs on other workers that a run is compared with to learn its worker's speed.
      */
     private static final int MIN_SPEED_REFERENCES = 2;
 
-    /** A run that fails within this time, or this fraction of its duration, failed at once. */
-    private static final long MIN_AT_ONCE_MS = 500;
-
-    private static final double AT_ONCE_FRACTION = 0.1;
-
-    /**
-     * The fraction of the workers that may be in quarantine for a single failure to add another; a
-     * job that fails everywhere must not take all workers away.
-     */
-    private static final double MAX_SUSPECT_FRACTION = 0.15;
-
-    /** How long no starts are sent after a refused one; it doubles with each further refusal. */
-    private static final long FIRST_REFUSAL_BACKOFF_MS = 500;
-
-    private static final long MAX_REFUSAL_BACKOFF_MS = 8_000;
-
-    /** The number of doublings after which the longest backoff is reached. */
-    private static final int MAX_BACKOFF_DOUBLINGS = 4;
-
     /** The shortest time without progress after which a run counts as stalled. */
     private static final long MIN_STALL_MS = 3_500;
 
@@ -72,12 +43,14 @@
 
     private final ClusterState mState;
     private final SchedulerSettings mSettings;
+    private final WorkerQuarantine mQuarantine;
     private final SlowWorkerDetector mSlowWorkerDetector;
     private final BestEffortThrottle mThrottle;
 
-    RunTracker(ClusterState state, SchedulerSettings settings) {
+    RunTracker(ClusterState state, SchedulerSettings settings, WorkerQuarantine quarantine) {
         mState = state;
         mSettings = settings;
+        mQuarantine = quarantine;
         mSlowWorkerDetector = new SlowWorkerDetector(state);
         mThrottle = new BestEffortThrottle(state);
     }
@@ -223,7 +196,7 @@
         }
         switch (answer) {
             case ACCEPTED -> {
-                run.worker.consecutiveRefusals = 0;
+                mQuarantine.onStartAccepted(run.worker);
                 run.phase = Phase.RUNNING;
                 run.confirmedAtMs = nowMs;
                 run.startedAtMs = nowMs;
@@ -247,7 +220,7 @@
                 onStartRefused(run, nowMs);
             }
             default -> {
-                backOff(run.worker, nowMs);
+                mQuarantine.onStartRefused(run.worker, nowMs);
                 onStartRefused(run, nowMs);
             }
         }
@@ -264,17 +237,6 @@
         stopGangOf(run, nowMs);
     }
 
-    /** Stops assigning runs to a worker that refused a start, with exponential backoff. */
-    private static void backOff(Worker worker, long nowMs) {
-        long backoffMs =
-                Math.min(
-                        MAX_REFUSAL_BACKOFF_MS,
-                        FIRST_REFUSAL_BACKOFF_MS << worker.consecutiveRefusals);
-        worker.consecutiveRefusals =
-                Math.min(worker.consecutiveRefusals + 1, MAX_BACKOFF_DOUBLINGS);
-        worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + backoffMs);
-    }
-
     void onStopAnswer(Run run, OrderAnswer answer, long nowMs) {
         if (run.phase == Phase.STOPPING && answer == OrderAnswer.ACCEPTED) {
             run.confirmedAtMs = Math.min(run.confirmedAtMs, nowMs);
@@ -293,7 +255,7 @@
                     mState.sendStop(run, nowMs);
                 } else if (run.phase == Phase.RUNNING && !worker.unresponsive && isStalled(run)) {
                     run.task.failedWorkers.add(worker.id);
-                    recordWorkerFailure(worker, run.task.step, nowMs);
+                    mQuarantine.onStall(run, nowMs);
                     mState.stopRun(run, StopReason.STALLED, nowMs);
                     stopGangOf(run, nowMs);
                 }
@@ -433,9 +395,7 @@
 
     private void onSuccess(Run run, long nowMs) {
         StepInstance step = run.task.step;
-        run.worker.failedSteps.clear();
-        run.worker.quarantineMs = 0;
-        run.worker.lastSuccessAtMs = nowMs;
+        mQuarantine.onSuccess(run, nowMs);
         if (run.runningSinceMs > 0 && run.task.attempt == 1 && !run.remote) {
             mState.durationEstimator.recordDuration(
                     step.job.record.queue(), step.plan, nowMs - run.runningSinceMs);
@@ -452,12 +412,7 @@
 
     private void onFailure(Run run, long nowMs) {
         StepInstance step = run.task.step;
-        boolean isFirstFailedWorker = step.failureCount() == 0;
-        run.worker.lastFailureAtMs = nowMs;
-        recordWorkerFailure(run.worker, step, nowMs);
-        if (isFirstFailedWorker && failedAtOnce(run, nowMs) && canQuarantineOnSuspicion(nowMs)) {
-            quarantine(run.worker, nowMs);
-        }
+        mQuarantine.onFailure(run, nowMs);
         // The members of a gang share their attempts, so none of them may go there again.
         for (Task task : step.plan.gang() ? step.tasks : List.of(run.task)) {
             task.failedWorkers.add(run.worker.id);
@@ -498,39 +453,6 @@
         }
     }
 
-    /** Records a failed or stalled run, and quarantines the worker after several failed steps. */
-    private static void recordWorkerFailure(Worker worker, StepInstance step, long nowMs) {
-        worker.failedSteps.add(step);
-        if (worker.failedSteps.size() >= QUARANTINE_FAILED_STEPS) {
-            quarantine(worker, nowMs);
-        }
-    }
-
-    private static void quarantine(Worker worker, long nowMs) {
-        worker.quarantineMs =
-                Math.min(MAX_QUARANTINE_MS, Math.max(FIRST_QUARANTINE_MS, worker.quarantineMs * 2));
-        worker.quarantinedUntilMs = nowMs + worker.quarantineMs;
-    }
-
-    /** Returns whether a run failed so soon that rather the worker than the job is the cause. */
-    private boolean failedAtOnce(Run run, long nowMs) {
-        if (run.task.step.plan.longRunning()) {
-            return false;
-        }
-        long expectedMs = run.task.step.expectedMs(mState.durationEstimator);
-        long elapsedMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
-        return elapsedMs < Math.max(MIN_AT_ONCE_MS, Math.round(expectedMs * AT_ONCE_FRACTION));
-    }
-
-    /** Returns whether few enough workers are in quarantine to add one on a single failure. */
-    private boolean canQuarantineOnSuspicion(long nowMs) {
-        int quarantined = 0;
-        for (Worker worker : mState.workers.values()) {
-            quarantined += nowMs < worker.quarantinedUntilMs ? 1 : 0;
-        }
-        return quarantined + 1 <= mState.workers.size() * MAX_SUSPECT_FRACTION;
-    }
-
     /** Returns whether a run has certainly ended if a report requested at a time lacks it. */
     private boolean isOverIfAbsent(Run run, long requestedAtMs) {
         // The expiry time of an order means nothing on the clock of a later incarnation.
--- /dev/null
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -0,0 +1,104 @@
+package org.lycheeroad.coordination.jobs;
+
+/** Keeps new runs off workers that fail runs or refuse starts. */
+final class WorkerQuarantine {
+    /** The first quarantine of a worker on which several steps failed; it doubles each time. */
+    private static final long FIRST_QUARANTINE_MS = 3_000;
+
+    private static final long MAX_QUARANTINE_MS = 24_000;
+
+    /**
+     * The number of steps that must fail on a worker, without a success between, for a quarantine.
+     */
+    private static final int QUARANTINE_FAILED_STEPS = 2;
+
+    /** A run that fails within this time, or this fraction of its duration, failed at once. */
+    private static final long MIN_AT_ONCE_MS = 500;
+
+    private static final double AT_ONCE_FRACTION = 0.1;
+
+    /**
+     * The fraction of the workers that may be in quarantine for a single failure to add another; a
+     * job that fails everywhere must not take all workers away.
+     */
+    private static final double MAX_SUSPECT_FRACTION = 0.15;
+
+    /** How long no starts are sent after a refused one; it doubles with each further refusal. */
+    private static final long FIRST_REFUSAL_BACKOFF_MS = 500;
+
+    private static final long MAX_REFUSAL_BACKOFF_MS = 8_000;
+
+    /** The number of doublings after which the longest backoff is reached. */
+    private static final int MAX_BACKOFF_DOUBLINGS = 4;
+
+    private final ClusterState mState;
+
+    WorkerQuarantine(ClusterState state) {
+        mState = state;
+    }
+
+    /** Records a success, which shows that the worker is sound. */
+    void onSuccess(Run run, long nowMs) {
+        run.worker.failedSteps.clear();
+        run.worker.quarantineMs = 0;
+        run.worker.lastSuccessAtMs = nowMs;
+    }
+
+    /** Records a failed run, before it counts as a failure of its step. */
+    void onFailure(Run run, long nowMs) {
+        boolean isFirstFailedWorker = run.task.step.failureCount() == 0;
+        run.worker.lastFailureAtMs = nowMs;
+        onStall(run, nowMs);
+        if (isFirstFailedWorker && failedAtOnce(run, nowMs) && canQuarantineOnSuspicion(nowMs)) {
+            quarantine(run.worker, nowMs);
+        }
+    }
+
+    /** Records a failed or stalled run, and quarantines the worker after several failed steps. */
+    void onStall(Run run, long nowMs) {
+        run.worker.failedSteps.add(run.task.step);
+        if (run.worker.failedSteps.size() >= QUARANTINE_FAILED_STEPS) {
+            quarantine(run.worker, nowMs);
+        }
+    }
+
+    void onStartAccepted(Worker worker) {
+        worker.consecutiveRefusals = 0;
+    }
+
+    /** Stops assigning runs to a worker that refused a start, with exponential backoff. */
+    void onStartRefused(Worker worker, long nowMs) {
+        long backoffMs =
+                Math.min(
+                        MAX_REFUSAL_BACKOFF_MS,
+                        FIRST_REFUSAL_BACKOFF_MS << worker.consecutiveRefusals);
+        worker.consecutiveRefusals =
+                Math.min(worker.consecutiveRefusals + 1, MAX_BACKOFF_DOUBLINGS);
+        worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + backoffMs);
+    }
+
+    private static void quarantine(Worker worker, long nowMs) {
+        worker.quarantineMs =
+                Math.min(MAX_QUARANTINE_MS, Math.max(FIRST_QUARANTINE_MS, worker.quarantineMs * 2));
+        worker.quarantinedUntilMs = nowMs + worker.quarantineMs;
+    }
+
+    /** Returns whether a run failed so soon that rather the worker than the job is the cause. */
+    private boolean failedAtOnce(Run run, long nowMs) {
+        if (run.task.step.plan.longRunning()) {
+            return false;
+        }
+        long expectedMs = run.task.step.expectedMs(mState.durationEstimator);
+        long elapsedMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
+        return elapsedMs < Math.max(MIN_AT_ONCE_MS, Math.round(expectedMs * AT_ONCE_FRACTION));
+    }
+
+    /** Returns whether few enough workers are in quarantine to add one on a single failure. */
+    private boolean canQuarantineOnSuspicion(long nowMs) {
+        int quarantined = 0;
+        for (Worker worker : mState.workers.values()) {
+            quarantined += nowMs < worker.quarantinedUntilMs ? 1 : 0;
+        }
+        return quarantined + 1 <= mState.workers.size() * MAX_SUSPECT_FRACTION;
+    }
+}
