--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
@@ -7,14 +7,18 @@
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.tasks;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
+import static org.lycheeroad.coordination.jobs.StepBuilder.step;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.lycheeroad.state.id.JobId;
 import org.lycheeroad.state.work.RunOutcome;
+import org.lycheeroad.state.work.WorkerRuns.EndedRun;
 
 /** A tenth of the workers fail all that they start, and wide gangs have few attempts. */
 class FailingWorkerTest {
@@ -96,4 +100,46 @@
         attempt.subList(1, 4).forEach(start -> end(start, RunOutcome.BROKEN));
         assertThat(workersOf(startAll())).containsExactlyInAnyOrder("w16", "w17", "w18", "w19");
     }
+
+    /** A worker whose label jobs need, and which is the only one with it. */
+    @Nested
+    class OnlyWorkerWithALabel {
+        private static final String WORKER = "w90";
+
+        @BeforeEach
+        void addWorker() {
+            mFixture.addWorker(WORKER, "r9");
+        }
+
+        /**
+         * Guards against a quarantine of 24 s after runs that fail together; lasting tasks have to
+         * start within 9 s of their last run.
+         */
+        @Test
+        void runsThatFailTogetherLengthenTheQuarantineOnce() {
+            submitLasting(5);
+            fail(startAll());
+            mFixture.nowMs += 3_001;
+            assertThat(startAll()).isNotEmpty();
+        }
+
+        /** Reports that runs have failed together. */
+        private void fail(List<JobAction.Start> starts) {
+            List<EndedRun> ends = new ArrayList<>();
+            for (JobAction.Start start : starts) {
+                int number = mEndNumbers.merge(WORKER, 1, Integer::sum);
+                ends.add(ended(number, start.run(), RunOutcome.FAILED));
+            }
+            mFixture.report(WORKER, List.of(), ends);
+        }
+
+        private void submitLasting(int jobs) {
+            for (int i = 0; i < jobs; i++) {
+                mFixture.submit(
+                        "lasting" + mFixture.nowMs + "-" + i,
+                        BULK,
+                        step(1, 1, 1_000).label("r9").longRunning().build());
+            }
+        }
+    }
 }
