--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -127,6 +127,9 @@
     /** The length of the last quarantine; 0 after a success. */
     public long quarantineMs;
 
+    /** When the last quarantine began. */
+    public long quarantinedSinceMs;
+
     /** How many starts the worker has refused since it last accepted one, up to a bound. */
     public int consecutiveRefusals;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -50,7 +50,7 @@
         run.worker.lastFailureAtMs = nowMs;
         onStall(run, nowMs);
         if (isFirstFailedWorker && failedAtOnce(run, nowMs) && canQuarantineOnSuspicion(nowMs)) {
-            quarantine(run.worker, nowMs);
+            quarantine(run, nowMs);
         }
     }
 
@@ -58,7 +58,7 @@
     void onStall(Run run, long nowMs) {
         run.worker.failedSteps.add(run.task.step);
         if (run.worker.failedSteps.size() >= QUARANTINE_FAILED_STEPS) {
-            quarantine(run.worker, nowMs);
+            quarantine(run, nowMs);
         }
     }
 
@@ -77,7 +77,16 @@
         worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + backoffMs);
     }
 
-    private static void quarantine(Worker worker, long nowMs) {
+    /**
+     * Bars a run's worker for a while. A run that started before the last quarantine says nothing
+     * about the worker's state since then, so it does not lengthen the quarantine.
+     */
+    private static void quarantine(Run run, long nowMs) {
+        Worker worker = run.worker;
+        if (worker.quarantineMs > 0 && run.firstStartSentAtMs <= worker.quarantinedSinceMs) {
+            return;
+        }
+        worker.quarantinedSinceMs = nowMs;
         worker.quarantineMs =
                 Math.min(MAX_QUARANTINE_MS, Math.max(FIRST_QUARANTINE_MS, worker.quarantineMs * 2));
         worker.quarantinedUntilMs = nowMs + worker.quarantineMs;
