--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
@@ -142,4 +142,69 @@
             }
         }
     }
+
+    /** Jobs that can never be done: they fail on every worker. */
+    @Nested
+    class FailingJobs {
+        /** Guards against barring all workers by two jobs of which every run fails late. */
+        @Test
+        void jobsThatFailEverywhereAreNotHeldAgainstTheWorkers() {
+            for (String job : List.of("j1", "j2")) {
+                mFixture.submit(job, BULK, tasks(WORKERS, 8, 5_000));
+                List<JobAction.Start> all = startAll();
+                mFixture.nowMs += 2_000;
+                all.forEach(start -> end(start, RunOutcome.FAILED));
+                mFixture.scheduler.onCancel(new JobId(job), mFixture.nowMs);
+            }
+            assertAllInUse();
+        }
+
+        /** Guards against barring the first worker of a job that fails on the next one, too. */
+        @Test
+        void secondFailureOfATaskElsewhereTakesTheSuspicionBack() {
+            mFixture.submit("j1", BULK, tasks(1, 8, 5_000));
+            for (int i = 0; i < 2; i++) {
+                mFixture.nowMs += 100;
+                end(startAll().get(0), RunOutcome.FAILED);
+            }
+            mFixture.scheduler.onCancel(new JobId("j1"), mFixture.nowMs);
+            assertAllInUse();
+        }
+
+        /** As above, for a gang. */
+        @Test
+        void secondFailureOfAGangElsewhereTakesTheSuspicionBack() {
+            mFixture.submit("j1", BULK, gang(4, 8, 5_000, false));
+            for (int i = 0; i < 2; i++) {
+                mFixture.nowMs += 100;
+                startAll().forEach(start -> end(start, RunOutcome.FAILED));
+            }
+            mFixture.scheduler.onCancel(new JobId("j1"), mFixture.nowMs);
+            assertAllInUse();
+        }
+
+        private void assertAllInUse() {
+            mFixture.submit("sound", BULK, tasks(WORKERS, 8, 5_000));
+            assertThat(workersOf(startAll())).hasSize(WORKERS);
+        }
+
+        /** Guards against barring most workers by many jobs that fail once each. */
+        @Test
+        void mostWorkersStayInUseHoweverManyJobsFail() {
+            for (int i = 0; i < 3; i++) {
+                for (int j = 0; j < WORKERS; j++) {
+                    mFixture.submit("j" + i + "-" + j, BULK, tasks(1, 8, 5_000));
+                }
+                List<JobAction.Start> all = startAll();
+                mFixture.nowMs += 2_000;
+                all.forEach(start -> end(start, RunOutcome.FAILED));
+                all.forEach(
+                        start ->
+                                mFixture.scheduler.onCancel(
+                                        start.run().task().job(), mFixture.nowMs));
+            }
+            mFixture.submit("sound", BULK, tasks(WORKERS, 8, 5_000));
+            assertThat(workersOf(startAll())).hasSizeGreaterThanOrEqualTo(WORKERS * 2 / 3);
+        }
+    }
 }
