--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -412,7 +412,7 @@
 
     private void onFailure(Run run, long nowMs) {
         StepInstance step = run.task.step;
-        mQuarantine.onFailure(run, nowMs);
+        boolean isFirstOfStep = step.failureCount() == 0;
         // The members of a gang share their attempts, so none of them may go there again.
         for (Task task : step.plan.gang() ? step.tasks : List.of(run.task)) {
             task.failedWorkers.add(run.worker.id);
@@ -427,6 +427,7 @@
         } else {
             failures = ++run.task.failures;
         }
+        mQuarantine.onFailure(run, isFirstOfStep, nowMs);
         mState.markUnsaved(step.job);
         if (!step.plan.longRunning() && failures >= step.job.queue.maxAttempts()) {
             mState.endJob(step.job, WorkState.FAILED, nowMs);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowWorkerDetector.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/SlowWorkerDetector.java
@@ -61,7 +61,7 @@
             }
         }
         if (slow > sound && (worker.slow || canAddSlowWorker())) {
-            worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + QUARANTINE_MS);
+            worker.noRunsUntilMs = Math.max(worker.noRunsUntilMs, nowMs + QUARANTINE_MS);
             if (!worker.slow) {
                 worker.slow = true;
                 worker.runs.values().forEach(r -> r.task.step.observedDurations.forget(worker.id));
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -110,9 +110,12 @@
     /** Ended runs with an unanswered start, by when their starts were last sent. */
     public final Map<RunRef, Long> endedUnansweredStarts = new HashMap<>();
 
-    /** No runs are assigned before this time, because of failures or refused starts. */
+    /** No runs are assigned before this time, because of failures. */
     public long quarantinedUntilMs;
 
+    /** No runs are assigned before this time, because of refused starts or slow progress. */
+    public long noRunsUntilMs;
+
     public final WorkerSpeed speed = new WorkerSpeed();
 
     /** When a run last succeeded here; 0 if none has. */
@@ -182,6 +185,7 @@
                 && !unresponsive
                 && unrecordedRuns.isEmpty()
                 && nowMs >= earlierCallsUntilMs
+                && nowMs >= noRunsUntilMs
                 && nowMs >= quarantinedUntilMs;
     }
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -1,5 +1,9 @@
 package org.lycheeroad.coordination.jobs;
 
+import java.util.HashSet;
+import java.util.Set;
+import org.lycheeroad.state.id.WorkerId;
+
 /** Keeps new runs off workers that fail runs or refuse starts. */
 final class WorkerQuarantine {
     /** The first quarantine of a worker on which several steps failed; it doubles each time. */
@@ -44,16 +48,53 @@
         run.worker.lastSuccessAtMs = nowMs;
     }
 
-    /** Records a failed run, before it counts as a failure of its step. */
-    void onFailure(Run run, long nowMs) {
-        boolean isFirstFailedWorker = run.task.step.failureCount() == 0;
+    /** Records a failed run, after it has been counted as a failure of its step. */
+    void onFailure(Run run, boolean firstOfStep, long nowMs) {
+        if (isAtFault(run.task.step)) {
+            takeBack(run.task.step, nowMs);
+            return;
+        }
         run.worker.lastFailureAtMs = nowMs;
         onStall(run, nowMs);
-        if (isFirstFailedWorker && failedAtOnce(run, nowMs) && canQuarantineOnSuspicion(nowMs)) {
+        if (firstOfStep && failedAtOnce(run, nowMs) && canQuarantineOnSuspicion(nowMs)) {
             quarantine(run, nowMs);
         }
     }
 
+    /**
+     * Returns whether a step rather than its workers is the cause of its failures: the same task or
+     * gang has failed on two workers, or most tasks have, and none has succeeded. Failing workers
+     * are few, and the next attempt prefers workers with a recent success.
+     */
+    private static boolean isAtFault(StepInstance step) {
+        Set<WorkerId> failedWorkers = new HashSet<>();
+        boolean failedTwice = false;
+        for (Task task : step.tasks) {
+            if (task.done) {
+                return false;
+            }
+            failedWorkers.addAll(task.failedWorkers);
+            failedTwice |= task.failedWorkers.size() > 1;
+        }
+        if (step.plan.gang()) {
+            // The members of one attempt may fail on several workers.
+            return failedTwice && step.gangFailures > 1;
+        }
+        return failedTwice
+                || (failedWorkers.size() > 1 && failedWorkers.size() * 2 > step.tasks.size());
+    }
+
+    /** Ends the quarantines for which the failures of a step were needed. */
+    private void takeBack(StepInstance step, long nowMs) {
+        for (Worker worker : mState.workers.values()) {
+            if (worker.failedSteps.remove(step)
+                    && worker.failedSteps.size() < QUARANTINE_FAILED_STEPS) {
+                worker.quarantinedUntilMs = Math.min(worker.quarantinedUntilMs, nowMs);
+                worker.quarantineMs = 0;
+            }
+        }
+    }
+
     /** Records a failed or stalled run, and quarantines the worker after several failed steps. */
     void onStall(Run run, long nowMs) {
         run.worker.failedSteps.add(run.task.step);
@@ -74,7 +115,7 @@
                         FIRST_REFUSAL_BACKOFF_MS << worker.consecutiveRefusals);
         worker.consecutiveRefusals =
                 Math.min(worker.consecutiveRefusals + 1, MAX_BACKOFF_DOUBLINGS);
-        worker.quarantinedUntilMs = Math.max(worker.quarantinedUntilMs, nowMs + backoffMs);
+        worker.noRunsUntilMs = Math.max(worker.noRunsUntilMs, nowMs + backoffMs);
     }
 
     /**
