--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -27,6 +27,12 @@
      */
     private static final double MAX_SUSPECT_FRACTION = 0.15;
 
+    /**
+     * The largest fraction of a service's workers in quarantine, however much fails on them. Faults
+     * of workers affect at most a sixth of them at a time, so the rest are sound.
+     */
+    private static final double MAX_QUARANTINED_FRACTION = 1.0 / 3;
+
     /** How long no starts are sent after a refused one; it doubles with each further refusal. */
     private static final long FIRST_REFUSAL_BACKOFF_MS = 500;
 
@@ -122,9 +128,11 @@
      * Bars a run's worker for a while. A run that started before the last quarantine says nothing
      * about the worker's state since then, so it does not lengthen the quarantine.
      */
-    private static void quarantine(Run run, long nowMs) {
+    private void quarantine(Run run, long nowMs) {
         Worker worker = run.worker;
-        if (worker.quarantineMs > 0 && run.firstStartSentAtMs <= worker.quarantinedSinceMs) {
+        boolean startedBefore =
+                worker.quarantineMs > 0 && run.firstStartSentAtMs <= worker.quarantinedSinceMs;
+        if (startedBefore || !mayAdd(worker, nowMs)) {
             return;
         }
         worker.quarantinedSinceMs = nowMs;
@@ -133,6 +141,24 @@
         worker.quarantinedUntilMs = nowMs + worker.quarantineMs;
     }
 
+    /** Returns whether few enough workers of the same service are in quarantine to add one. */
+    private boolean mayAdd(Worker worker, long nowMs) {
+        if (worker.entry == null) {
+            return true;
+        }
+        int workers = 0;
+        int quarantined = 0;
+        for (Worker other : mState.workers.values()) {
+            if (other.entry != null
+                    && other.registered
+                    && other.entry.service().equals(worker.entry.service())) {
+                workers++;
+                quarantined += other != worker && nowMs < other.quarantinedUntilMs ? 1 : 0;
+            }
+        }
+        return quarantined == 0 || quarantined + 1 <= workers * MAX_QUARANTINED_FRACTION;
+    }
+
     /** Returns whether a run failed so soon that rather the worker than the job is the cause. */
     private boolean failedAtOnce(Run run, long nowMs) {
         if (run.task.step.plan.longRunning()) {
