--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
@@ -4,6 +4,7 @@
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.BULK;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.ended;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.gang;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.running;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.starts;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.tasks;
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
@@ -123,6 +124,34 @@
             assertThat(startAll()).isNotEmpty();
         }
 
+        /** Guards against barring a worker for tasks that fail by themselves long after a start. */
+        @Test
+        void lastingTasksThatWereAtWorkSayNothingAboutTheWorker() {
+            submitLasting(2);
+            List<JobAction.Start> starts = startAll();
+            mFixture.nowMs += 5_000;
+            reportAtWork(starts);
+            fail(starts);
+            assertThat(startAll()).hasSize(2);
+        }
+
+        /** Guards against quarantines that only ever get longer, as lasting tasks never succeed. */
+        @Test
+        void lastingTaskAtWorkShowsThatTheWorkerIsSound() {
+            submitLasting(2);
+            failTogether();
+            reportAtWork(startAll());
+            submitLasting(2);
+            failTogether();
+            assertThat(startAll()).isNotEmpty();
+        }
+
+        private void failTogether() {
+            fail(startAll());
+            assertThat(startAll()).isEmpty();
+            mFixture.nowMs += 3_001;
+        }
+
         /** Reports that runs have failed together. */
         private void fail(List<JobAction.Start> starts) {
             List<EndedRun> ends = new ArrayList<>();
@@ -141,6 +170,11 @@
                         step(1, 1, 1_000).label("r9").longRunning().build());
             }
         }
+
+        private void reportAtWork(List<JobAction.Start> starts) {
+            mFixture.report(
+                    WORKER, starts.stream().map(start -> running(start, 100)).toList(), List.of());
+        }
     }
 
     /** Jobs that can never be done: they fail on every worker. */
