--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -84,6 +84,7 @@
                 }
             }
         }
+        mQuarantine.onReport(worker);
         mSlowWorkerDetector.onReport(worker, nowMs);
         mThrottle.onReport(worker, nowMs);
     }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -54,8 +54,31 @@
         run.worker.lastSuccessAtMs = nowMs;
     }
 
+    /**
+     * Handles a report of a worker. A lasting task at work shows that the worker is sound, as a
+     * success of other tasks does, if it started after the worker's last failure.
+     */
+    void onReport(Worker worker) {
+        for (Run run : worker.runs.values()) {
+            if (isLastingAtWork(run)
+                    && run.phase == Run.Phase.RUNNING
+                    && run.firstStartSentAtMs > worker.lastFailureAtMs) {
+                worker.failedSteps.clear();
+                worker.quarantineMs = 0;
+            }
+        }
+    }
+
+    private static boolean isLastingAtWork(Run run) {
+        return run.task.step.plan.longRunning() && run.progress.isComplete();
+    }
+
     /** Records a failed run, after it has been counted as a failure of its step. */
     void onFailure(Run run, boolean firstOfStep, long nowMs) {
+        if (isLastingAtWork(run)) {
+            // Such tasks may fail at any time by themselves.
+            return;
+        }
         if (isAtFault(run.task.step)) {
             takeBack(run.task.step, nowMs);
             return;
