--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/RefusedOrdersTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/RefusedOrdersTest.java
@@ -100,6 +100,42 @@
         assertThat(attempts).isBetween(3, 6);
     }
 
+    /** Guards against barring a worker for 8 s by starts that it refuses together. */
+    @Test
+    void startsRefusedTogetherBackOffOnce() {
+        mFixture.submit("j1", BULK, step(8, 1, 1_000).build());
+        starts(mFixture.runRound()).forEach(start -> answer(start, OrderAnswer.UNHEALTHY));
+        mFixture.nowMs += 501;
+        assertThat(starts(mFixture.runRound())).hasSize(8);
+    }
+
+    /** Guards against barring a sound worker for seconds by starts that were never sent to it. */
+    @Test
+    void startsThatWereNotSentDoNotBackOffLonger() {
+        mFixture.submit("j1", BULK, step(1, 1, 1_000).build());
+        for (int i = 0; i < 5; i++) {
+            answer(starts(mFixture.runRound()).get(0), OrderAnswer.EXPIRED);
+            mFixture.nowMs += 501;
+        }
+        assertThat(starts(mFixture.runRound())).hasSize(1);
+    }
+
+    /** Guards against a job that waits for 8 s beside a worker that is healthy again. */
+    @Test
+    void workerThatIsHealthyAgainGetsAStartWithinThreeSeconds() {
+        mFixture.submit("j1", BULK, step(1, 1, 1_000).build());
+        for (int i = 0; i < 200; i++) {
+            starts(mFixture.runRound()).forEach(start -> answer(start, OrderAnswer.UNHEALTHY));
+            mFixture.nowMs += 100;
+        }
+        int rounds = 0;
+        while (starts(mFixture.runRound()).isEmpty()) {
+            mFixture.nowMs += 100;
+            rounds++;
+        }
+        assertThat(rounds).isLessThan(30);
+    }
+
     /** Guards against gang starts that fail because workers go down and up in turn. */
     @Test
     void gangAvoidsWorkersWithoutARecentHeartbeat() {
