--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -221,7 +221,7 @@
                 onStartRefused(run, nowMs);
             }
             default -> {
-                mQuarantine.onStartRefused(run.worker, nowMs);
+                mQuarantine.onStartRefused(run, answer, nowMs);
                 onStartRefused(run, nowMs);
             }
         }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -136,6 +136,9 @@
     /** How many starts the worker has refused since it last accepted one, up to a bound. */
     public int consecutiveRefusals;
 
+    /** When a refused start last began or lengthened the backoff. */
+    public long lastRefusalAtMs;
+
     /** When the worker's directory entry was last received. */
     public long lastHeartbeatAtMs;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -36,10 +36,11 @@
     /** How long no starts are sent after a refused one; it doubles with each further refusal. */
     private static final long FIRST_REFUSAL_BACKOFF_MS = 500;
 
-    private static final long MAX_REFUSAL_BACKOFF_MS = 8_000;
+    /** A worker that is healthy again must get a start within 3 s if no other has room. */
+    private static final long MAX_REFUSAL_BACKOFF_MS = 2_500;
 
     /** The number of doublings after which the longest backoff is reached. */
-    private static final int MAX_BACKOFF_DOUBLINGS = 4;
+    private static final int MAX_BACKOFF_DOUBLINGS = 3;
 
     private final ClusterState mState;
 
@@ -136,17 +137,38 @@
         worker.consecutiveRefusals = 0;
     }
 
-    /** Stops assigning runs to a worker that refused a start, with exponential backoff. */
-    void onStartRefused(Worker worker, long nowMs) {
-        long backoffMs =
-                Math.min(
-                        MAX_REFUSAL_BACKOFF_MS,
-                        FIRST_REFUSAL_BACKOFF_MS << worker.consecutiveRefusals);
-        worker.consecutiveRefusals =
-                Math.min(worker.consecutiveRefusals + 1, MAX_BACKOFF_DOUBLINGS);
+    /**
+     * Stops assigning runs to a worker that refused a start, with exponential backoff. Starts that
+     * were sent before the last refusal, and answers that do not depend on the worker's state, do
+     * not lengthen it.
+     */
+    void onStartRefused(Run run, OrderAnswer answer, long nowMs) {
+        Worker worker = run.worker;
+        if (run.lastStartSentAtMs <= worker.lastRefusalAtMs) {
+            return;
+        }
+        worker.lastRefusalAtMs = nowMs;
+        long backoffMs = FIRST_REFUSAL_BACKOFF_MS;
+        if (dependsOnWorker(answer)) {
+            backoffMs =
+                    Math.min(
+                            MAX_REFUSAL_BACKOFF_MS,
+                            FIRST_REFUSAL_BACKOFF_MS << worker.consecutiveRefusals);
+            worker.consecutiveRefusals =
+                    Math.min(worker.consecutiveRefusals + 1, MAX_BACKOFF_DOUBLINGS);
+        }
         worker.noRunsUntilMs = Math.max(worker.noRunsUntilMs, nowMs + backoffMs);
     }
 
+    /** Returns whether a worker refused a start because of its state. */
+    private static boolean dependsOnWorker(OrderAnswer answer) {
+        return switch (answer) {
+            case UNHEALTHY, NO_ROOM, REPLACED, MALFORMED -> true;
+            // EXPIRED is also the answer to a start that was not sent.
+            case ACCEPTED, FENCED, OUTDATED, EXPIRED, BAD_TICKET, UNKNOWN -> false;
+        };
+    }
+
     /**
      * Bars a run's worker for a while. A run that started before the last quarantine says nothing
      * about the worker's state since then, so it does not lengthen the quarantine.
