--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/FailingWorkerTest.java
@@ -152,6 +152,68 @@
             mFixture.nowMs += 3_001;
         }
 
+        /** Guards against a job that waits beside a free worker for the end of its quarantine. */
+        @Test
+        void longQuarantineYieldsToAStepThatNoOtherWorkerCanRun() {
+            failRepeatedly();
+            mFixture.submit("sound", BULK, step(1, 1, 1_000).label("r9").build());
+            assertThat(startWithinMs(3_000)).isNotEmpty();
+        }
+
+        /** Guards against lasting tasks that stay down for longer than 9 s. */
+        @Test
+        void longQuarantineYieldsToALastingTask() {
+            failRepeatedly();
+            submitLasting(1);
+            assertThat(startWithinMs(9_000)).isNotEmpty();
+        }
+
+        /** Guards against a failing worker that uses up attempts of jobs that others can run. */
+        @Test
+        void longQuarantineDoesNotYieldIfOtherWorkersHaveRoom() {
+            failRepeatedly();
+            for (int i = 0; i < 40; i++) {
+                mFixture.submit("other" + i, BULK, tasks(1, 1, 5_000));
+                assertThat(workersOf(startAll())).doesNotContain(WORKER).hasSize(1);
+                mFixture.nowMs += 100;
+            }
+        }
+
+        /** Guards against a failing worker that uses up attempts of several jobs at once. */
+        @Test
+        void workerIsProbedWithOneStepAtATime() {
+            failRepeatedly();
+            for (int i = 0; i < 3; i++) {
+                mFixture.submit("probe" + i, BULK, step(1, 1, 1_000).label("r9").build());
+            }
+            List<JobAction.Start> probe = startWithinMs(3_000);
+            assertThat(probe).hasSize(1);
+            assertThat(startAll()).isEmpty();
+            mFixture.nowMs += 600;
+            mFixture.report(WORKER, List.of(running(probe.get(0), 60)), List.of());
+            assertThat(startAll()).hasSize(2);
+        }
+
+        private void failRepeatedly() {
+            for (int i = 0; i < 8; i++) {
+                JobId job = new JobId("failing" + i);
+                mFixture.submit(job.value(), BULK, step(1, 1, 1_000).label("r9").build());
+                fail(startWithinMs(25_000));
+                mFixture.scheduler.onCancel(job, mFixture.nowMs);
+            }
+        }
+
+        /** Runs rounds until something starts. */
+        private List<JobAction.Start> startWithinMs(long maxMs) {
+            List<JobAction.Start> starts = startAll();
+            for (long untilMs = mFixture.nowMs + maxMs - 100;
+                    starts.isEmpty() && mFixture.nowMs < untilMs;
+                    starts = startAll()) {
+                mFixture.nowMs += 100;
+            }
+            return starts;
+        }
+
         /** Reports that runs have failed together. */
         private void fail(List<JobAction.Start> starts) {
             List<EndedRun> ends = new ArrayList<>();
