--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -49,7 +49,7 @@
 
     private final SchedulerSettings mSettings;
     private final ClusterState mState;
-    private final WorkerQuarantine mQuarantine;
+    private final QuarantineYield mQuarantineYield;
     private final RunTracker mTracker;
     private final WorkerEvacuator mEvacuator;
     private final SlowRunMover mSlowRunMover;
@@ -65,8 +65,8 @@
     public JobScheduler(SchedulerSettings settings, SchedulingPolicies policies) {
         mSettings = settings;
         mState = new ClusterState(policies.newEstimator());
-        mQuarantine = new WorkerQuarantine(mState);
-        mTracker = new RunTracker(mState, settings, mQuarantine);
+        mQuarantineYield = new QuarantineYield(mState);
+        mTracker = new RunTracker(mState, settings, new WorkerQuarantine(mState));
         mEvacuator = new WorkerEvacuator(mState);
         mAdviceRequester = new AdviceRequester(mState);
         SchedulingOrder order = policies.newOrder(mState.durationEstimator);
@@ -277,6 +277,7 @@
         mTracker.onTick(nowMs);
         mEvacuator.evacuate(nowMs);
         mSlowRunMover.moveRuns(nowMs, wallMs);
+        mQuarantineYield.yieldToWaitingSteps(nowMs);
         mRound.run(nowMs, wallMs);
     }
 
@@ -483,11 +484,11 @@
                     && run.phase == Phase.RECORDING
                     && run.recordVersion <= step.job.savedVersion) {
                 ready.add(run);
-                allSchedulable &= run.worker.isSchedulable(nowMs);
+                allSchedulable &= run.worker.canStartRuns(nowMs);
             }
         }
         for (Run run : ready) {
-            boolean send = step.plan.gang() ? allSchedulable : run.worker.isSchedulable(nowMs);
+            boolean send = step.plan.gang() ? allSchedulable : run.worker.canStartRuns(nowMs);
             if (send) {
                 mState.sendStart(run, nowMs);
                 if (step.job.state == WorkState.QUEUED) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -84,7 +84,7 @@
                 }
             }
         }
-        mQuarantine.onReport(worker);
+        mQuarantine.onReport(worker, nowMs);
         mSlowWorkerDetector.onReport(worker, nowMs);
         mThrottle.onReport(worker, nowMs);
     }
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -133,6 +133,12 @@
     /** When the last quarantine began. */
     public long quarantinedSinceMs;
 
+    /**
+     * Whether no run since a repeated or shortened quarantine has shown that the worker can run
+     * tasks. The worker then runs one step at a time.
+     */
+    public boolean onProbation;
+
     /** How many starts the worker has refused since it last accepted one, up to a bound. */
     public int consecutiveRefusals;
 
@@ -183,13 +189,36 @@
 
     /** Returns whether new runs may be assigned to this worker. */
     boolean isSchedulable(long nowMs) {
+        return canStartRuns(nowMs)
+                && !(onProbation && runs.values().stream().anyMatch(this::isProbe));
+    }
+
+    /** Returns whether runs that are assigned to this worker may start. */
+    boolean canStartRuns(long nowMs) {
+        return isUsable(nowMs) && nowMs >= quarantinedUntilMs;
+    }
+
+    /** Returns whether nothing but a quarantine keeps new runs off this worker. */
+    boolean isOnlyQuarantined(long nowMs) {
+        return isUsable(nowMs) && nowMs < quarantinedUntilMs;
+    }
+
+    private boolean isUsable(long nowMs) {
         return isInService()
                 && hasAnswered
                 && !unresponsive
                 && unrecordedRuns.isEmpty()
                 && nowMs >= earlierCallsUntilMs
-                && nowMs >= noRunsUntilMs
-                && nowMs >= quarantinedUntilMs;
+                && nowMs >= noRunsUntilMs;
+    }
+
+    /** Returns whether a run was started after the last quarantine, or is about to be. */
+    boolean isProbe(Run run) {
+        return switch (run.phase) {
+            case RECORDING -> true;
+            case STARTING, RUNNING -> run.firstStartSentAtMs > quarantinedSinceMs;
+            case UNCONFIRMED, STOPPING -> false;
+        };
     }
 
     /** Returns whether the worker is in the directory and there to stay. */
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -52,15 +52,22 @@
     void onSuccess(Run run, long nowMs) {
         run.worker.failedSteps.clear();
         run.worker.quarantineMs = 0;
+        run.worker.onProbation = false;
         run.worker.lastSuccessAtMs = nowMs;
     }
 
     /**
      * Handles a report of a worker. A lasting task at work shows that the worker is sound, as a
-     * success of other tasks does, if it started after the worker's last failure.
+     * success of other tasks does, if it started after the worker's last failure. A run that has
+     * not failed at once ends the probation.
      */
-    void onReport(Worker worker) {
+    void onReport(Worker worker, long nowMs) {
         for (Run run : worker.runs.values()) {
+            if (run.phase == Run.Phase.RUNNING
+                    && worker.isProbe(run)
+                    && nowMs - run.runningSinceMs >= atOnceMs(run)) {
+                worker.onProbation = false;
+            }
             if (isLastingAtWork(run)
                     && run.phase == Run.Phase.RUNNING
                     && run.firstStartSentAtMs > worker.lastFailureAtMs) {
@@ -121,6 +128,7 @@
                     && worker.failedSteps.size() < QUARANTINE_FAILED_STEPS) {
                 worker.quarantinedUntilMs = Math.min(worker.quarantinedUntilMs, nowMs);
                 worker.quarantineMs = 0;
+                worker.onProbation = false;
             }
         }
     }
@@ -181,6 +189,7 @@
             return;
         }
         worker.quarantinedSinceMs = nowMs;
+        worker.onProbation = worker.quarantineMs > 0;
         worker.quarantineMs =
                 Math.min(MAX_QUARANTINE_MS, Math.max(FIRST_QUARANTINE_MS, worker.quarantineMs * 2));
         worker.quarantinedUntilMs = nowMs + worker.quarantineMs;
@@ -209,9 +218,13 @@
         if (run.task.step.plan.longRunning()) {
             return false;
         }
-        long expectedMs = run.task.step.expectedMs(mState.durationEstimator);
         long elapsedMs = run.runningSinceMs > 0 ? nowMs - run.runningSinceMs : 0;
-        return elapsedMs < Math.max(MIN_AT_ONCE_MS, Math.round(expectedMs * AT_ONCE_FRACTION));
+        return elapsedMs < atOnceMs(run);
+    }
+
+    private long atOnceMs(Run run) {
+        long expectedMs = run.task.step.expectedMs(mState.durationEstimator);
+        return Math.max(MIN_AT_ONCE_MS, Math.round(expectedMs * AT_ONCE_FRACTION));
     }
 
     /** Returns whether few enough workers are in quarantine to add one on a single failure. */
