--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -93,17 +93,7 @@
     void setUp() {
         Term term = new Term(1, 10, 1, mClock);
         term.extendLease(mTermEndsAtMs, Term.wallClockOffsetMs(mClock));
-        WorkerStatus entry =
-                new WorkerStatus(
-                        WORKER,
-                        BORN_MS,
-                        ADDRESS,
-                        SERVICE,
-                        false,
-                        0,
-                        new Resources(1_000, 1_000, 1),
-                        Set.of(),
-                        new RackId("r1"));
+        WorkerStatus entry = entry(BORN_MS);
         mScheduler.onWorkerEntry(entry, mClock.monotonicMs());
         mSession =
                 new WorkerSession(
@@ -306,6 +296,66 @@
         assertThat(onExecutor(() -> mScheduler.mayHaveRuns(WORKER))).isFalse();
     }
 
+    /** Entries of a worker that has restarted; they and its replies come in any order. */
+    @Nested
+    class EntryOfARestartedWorker {
+        /** Guards against starts that are not sent, and delay their tasks, for want of a clock. */
+        @Test
+        void keepsTheClockThatAnEarlierReplyHasShown() throws Exception {
+            restart();
+            assertStartIsSent();
+        }
+
+        /** Guards against starts that are not sent as they are for a newer incarnation. */
+        @Test
+        void isNotReplacedByAnOlderEntry() throws Exception {
+            restart();
+            applyEntry(BORN_MS);
+            assertStartIsSent();
+        }
+
+        private void restart() throws Exception {
+            mGateway.answerNextPoll(List.of());
+            run(
+                    () -> {
+                        mScheduler.onWorkerUnresponsive(WORKER);
+                        mSession.pollIfDue();
+                    });
+            mGateway.answerNextPollRestarted();
+            applyEntry(RESTARTED_BORN_MS);
+        }
+
+        private void applyEntry(long bornMs) throws Exception {
+            run(
+                    () -> {
+                        mScheduler.onWorkerEntry(entry(bornMs), mClock.monotonicMs());
+                        mSession.update(entry(bornMs));
+                    });
+        }
+
+        private void assertStartIsSent() throws Exception {
+            run(
+                    () -> {
+                        issueStart();
+                        sendStarts();
+                    });
+            assertThat(mGateway.mStartLeases).hasSize(1);
+        }
+    }
+
+    private static WorkerStatus entry(long bornMs) {
+        return new WorkerStatus(
+                WORKER,
+                bornMs,
+                ADDRESS,
+                SERVICE,
+                false,
+                0,
+                new Resources(1_000, 1_000, 1),
+                Set.of(),
+                new RackId("r1"));
+    }
+
     private boolean submitJob() {
         QueueName queue = new QueueName("queue");
         TeamId team = new TeamId("team");
