--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -94,6 +94,9 @@
 
     private boolean mWorkerClockKnown;
 
+    /** The start time of the worker incarnation whose clock was read last; 0 before a reply. */
+    private long mClockIncarnationMs;
+
     /** When a reply last showed the worker's clock. */
     private long mWorkerClockReadAtMs;
 
@@ -144,7 +147,8 @@
 
     void update(WorkerStatus entry) {
         if (entry.incarnationStartMs() != mEntry.incarnationStartMs()) {
-            mWorkerClockKnown = false;
+            // The entry may come after the first reply, which has shown the clock already.
+            mWorkerClockKnown = entry.incarnationStartMs() == mClockIncarnationMs;
             mLeaseUntilOnWorkerMs = 0;
         }
         // A repeated read returns the same entry again, whose remaining time has partly passed.
@@ -356,6 +360,7 @@
             if (bornMs == mEntry.incarnationStartMs()) {
                 mWorkerClockOffsetMs = reply.runs().clockMs() - nowMs;
                 mWorkerClockKnown = true;
+                mClockIncarnationMs = reply.runs().incarnationStartMs();
                 mWorkerClockReadAtMs = nowMs;
             }
             logEndedRuns(reply.runs());
