--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -146,6 +146,10 @@
     }
 
     void update(WorkerStatus entry) {
+        if (entry.incarnationStartMs() < mEntry.incarnationStartMs()) {
+            // Written by the earlier incarnation; the scheduler ignores it, too.
+            return;
+        }
         if (entry.incarnationStartMs() != mEntry.incarnationStartMs()) {
             // The entry may come after the first reply, which has shown the clock already.
             mWorkerClockKnown = entry.incarnationStartMs() == mClockIncarnationMs;
