--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -49,6 +49,7 @@
 
     private final SchedulerSettings mSettings;
     private final ClusterState mState;
+    private final QuarantineYield mQuarantineYield;
     private final RunTracker mTracker;
     private final WorkerEvacuator mEvacuator;
     private final SlowRunMover mSlowRunMover;
@@ -65,7 +66,8 @@
     public JobScheduler(SchedulerSettings settings, SchedulingPolicies policies) {
         mSettings = settings;
         mState = new ClusterState(policies.newEstimator());
-        mTracker = new RunTracker(mState, settings);
+        mQuarantineYield = new QuarantineYield(mState);
+        mTracker = new RunTracker(mState, settings, new WorkerQuarantine(mState));
         mEvacuator = new WorkerEvacuator(mState);
         mAdviceRequester = new AdviceRequester(mState);
         SchedulingOrder order = policies.newOrder(mState.durationEstimator);
@@ -283,6 +285,7 @@
         mTracker.onTick(nowMs);
         mEvacuator.evacuate(nowMs);
         mSlowRunMover.moveRuns(nowMs, wallMs);
+        mQuarantineYield.yieldToWaitingSteps(nowMs);
         mRound.run(nowMs, wallMs);
         mStallDetector.check(nowMs);
     }
@@ -495,11 +498,11 @@
                     && run.phase == Phase.RECORDING
                     && run.recordVersion <= step.job.savedVersion) {
                 ready.add(run);
-                allSchedulable &= run.worker.isSchedulable(nowMs);
+                allSchedulable &= run.worker.canStartRuns(nowMs);
             }
         }
         for (Run run : ready) {
-            boolean send = step.plan.gang() ? allSchedulable : run.worker.isSchedulable(nowMs);
+            boolean send = step.plan.gang() ? allSchedulable : run.worker.canStartRuns(nowMs);
             if (send) {
                 mState.sendStart(run, nowMs);
                 if (step.job.state == WorkState.QUEUED) {
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -110,9 +110,12 @@
     /** Ended runs with an unanswered start, by when their starts were last sent. */
     public final Map<RunRef, Long> endedUnansweredStarts = new HashMap<>();
 
-    /** No runs are assigned before this time, because of failures or refused starts. */
+    /** No runs are assigned before this time, because of failures. */
     public long quarantinedUntilMs;
 
+    /** No runs are assigned before this time, because of refused starts or slow progress. */
+    public long noRunsUntilMs;
+
     public final WorkerSpeed speed = new WorkerSpeed();
 
     /** When a run last succeeded here; 0 if none has. */
@@ -127,9 +130,21 @@
     /** The length of the last quarantine; 0 after a success. */
     public long quarantineMs;
 
+    /** When the last quarantine began. */
+    public long quarantinedSinceMs;
+
+    /**
+     * Whether no run since a repeated or shortened quarantine has shown that the worker can run
+     * tasks. The worker then runs one step at a time.
+     */
+    public boolean onProbation;
+
     /** How many starts the worker has refused since it last accepted one, up to a bound. */
     public int consecutiveRefusals;
 
+    /** When a refused start last began or lengthened the backoff. */
+    public long lastRefusalAtMs;
+
     /** When the worker's directory entry was last received. */
     public long lastHeartbeatAtMs;
 
@@ -174,12 +189,36 @@
 
     /** Returns whether new runs may be assigned to this worker. */
     boolean isSchedulable(long nowMs) {
+        return canStartRuns(nowMs)
+                && !(onProbation && runs.values().stream().anyMatch(this::isProbe));
+    }
+
+    /** Returns whether runs that are assigned to this worker may start. */
+    boolean canStartRuns(long nowMs) {
+        return isUsable(nowMs) && nowMs >= quarantinedUntilMs;
+    }
+
+    /** Returns whether nothing but a quarantine keeps new runs off this worker. */
+    boolean isOnlyQuarantined(long nowMs) {
+        return isUsable(nowMs) && nowMs < quarantinedUntilMs;
+    }
+
+    private boolean isUsable(long nowMs) {
         return isInService()
                 && hasAnswered
                 && !unresponsive
                 && unrecordedRuns.isEmpty()
                 && nowMs >= earlierCallsUntilMs
-                && nowMs >= quarantinedUntilMs;
+                && nowMs >= noRunsUntilMs;
+    }
+
+    /** Returns whether a run was started after the last quarantine, or is about to be. */
+    boolean isProbe(Run run) {
+        return switch (run.phase) {
+            case RECORDING -> true;
+            case STARTING, RUNNING -> run.firstStartSentAtMs > quarantinedSinceMs;
+            case UNCONFIRMED, STOPPING -> false;
+        };
     }
 
     /** Returns whether the worker is in the directory and there to stay. */
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -59,17 +59,7 @@
     private static final long BORN_MS = 1_000;
     private static final ServiceName SERVICE = new ServiceName("service");
     private static final long RESTARTED_BORN_MS = 5_000;
-    private static final WorkerStatus ENTRY =
-            new WorkerStatus(
-                    WORKER,
-                    BORN_MS,
-                    ADDRESS,
-                    SERVICE,
-                    false,
-                    0,
-                    new Resources(1_000, 1_000, 1),
-                    Set.of(),
-                    new RackId("r1"));
+    private static final WorkerStatus ENTRY = entry(BORN_MS);
 
     /** The longest time for which a call without an answer may be on its way. */
     private static final long MAX_CALL_DELAY_MS = 15_000;
@@ -357,6 +347,66 @@
         assertThat(onExecutor(() -> mScheduler.mayHaveRuns(WORKER))).isFalse();
     }
 
+    /** Entries of a worker that has restarted; they and its replies come in any order. */
+    @Nested
+    class EntryOfARestartedWorker {
+        /** Guards against starts that are not sent, and delay their tasks, for want of a clock. */
+        @Test
+        void keepsTheClockThatAnEarlierReplyHasShown() throws Exception {
+            restart();
+            assertStartIsSent();
+        }
+
+        /** Guards against starts that are not sent as they are for a newer incarnation. */
+        @Test
+        void isNotReplacedByAnOlderEntry() throws Exception {
+            restart();
+            applyEntry(BORN_MS);
+            assertStartIsSent();
+        }
+
+        private void restart() throws Exception {
+            mGateway.answerNextPoll(List.of());
+            run(
+                    () -> {
+                        mScheduler.onWorkerUnresponsive(WORKER);
+                        mSession.pollIfDue();
+                    });
+            mGateway.answerNextPollRestarted();
+            applyEntry(RESTARTED_BORN_MS);
+        }
+
+        private void applyEntry(long bornMs) throws Exception {
+            run(
+                    () -> {
+                        mScheduler.onWorkerEntry(entry(bornMs), mClock.monotonicMs());
+                        mSession.update(entry(bornMs));
+                    });
+        }
+
+        private void assertStartIsSent() throws Exception {
+            run(
+                    () -> {
+                        issueStart();
+                        sendStarts();
+                    });
+            assertThat(mGateway.mStartLeases).hasSize(1);
+        }
+    }
+
+    private static WorkerStatus entry(long bornMs) {
+        return new WorkerStatus(
+                WORKER,
+                bornMs,
+                ADDRESS,
+                SERVICE,
+                false,
+                0,
+                new Resources(1_000, 1_000, 1),
+                Set.of(),
+                new RackId("r1"));
+    }
+
     private boolean submitJob() {
         return submitJob(null);
     }
