--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -178,6 +178,22 @@
         scheduler.onJob(new JobId(job), record, null, 0, nowMs);
     }
 
+    /** Submits an urgent job of a team without a guarantee. */
+    void submitWithoutGuarantee(String job, StepPlan... steps) {
+        submit(job, URGENT, new TeamId("no-guarantee"), nowMs, steps);
+    }
+
+    /** Runs rounds until some start or for some time; returns the starts of the last round. */
+    List<JobAction.Start> startsWithin(long limitMs) {
+        long endMs = nowMs + limitMs;
+        List<JobAction.Start> starts = starts(runRound());
+        while (starts.isEmpty() && nowMs < endMs) {
+            nowMs += 100;
+            starts = starts(runRound());
+        }
+        return starts;
+    }
+
     /** Runs a decision round, saves all progress and returns the orders. */
     List<JobAction> runRound() {
         return runRound(true);
--- /dev/null
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/PlacementProgressTest.java
@@ -0,0 +1,53 @@
+package org.lycheeroad.coordination.jobs;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.BULK;
+import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
+import static org.lycheeroad.coordination.jobs.StepBuilder.step;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Steps start within 3 s beside workers with room for them. */
+class PlacementProgressTest {
+    private static final long BOUND_MS = 3_000;
+    private static final long LONG_MS = 60_000;
+
+    private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
+
+    @Nested
+    class RackOfTheData {
+        /** Guards against a lasting task that waits for its full rack as long as its estimate. */
+        @Test
+        void lastingTaskStartsElsewhereOnABusyService() {
+            fill("w0", "r1", true);
+            fill("w1", "r2", true);
+            mFixture.addWorker("w2", "r2");
+            mFixture.submit("j1", BULK, step(1, 8, LONG_MS).dataRack("r1").longRunning().build());
+            assertThat(workersOf(mFixture.startsWithin(BOUND_MS))).containsExactly("w2");
+        }
+
+        /** Guards against starts away from the data, 3 times as long, on a busy service. */
+        @Test
+        void stepWaitsForItsRackOnABusyService() {
+            fill("w0", "r1", false);
+            fill("w1", "r2", false);
+            mFixture.addWorker("w2", "r2");
+            mFixture.submitWithoutGuarantee("j1", step(1, 8, LONG_MS).dataRack("r1").build());
+            assertThat(mFixture.startsWithin(BOUND_MS)).isEmpty();
+        }
+    }
+
+    /** Adds a worker and fills it with a task. */
+    private void fill(String worker, String rack, boolean lasting) {
+        mFixture.addWorker(worker, rack);
+        StepBuilder task = step(1, 8, LONG_MS).dataRack(rack);
+        occupy(worker, lasting ? task.longRunning() : task);
+    }
+
+    /** Starts a task for which only one worker has room. */
+    private void occupy(String worker, StepBuilder task) {
+        mFixture.submit("on-" + worker, BULK, task.build());
+        mFixture.acceptStarts(mFixture.runRound());
+    }
+}
