--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DeadlineOrder.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DeadlineOrder.java
@@ -68,16 +68,17 @@
 
     /**
      * Allows a remote start shortly before the latest one with which the job still ends within its
-     * objective or, if it cannot, with which its result is still useful.
+     * objective or, if it cannot, with which its result is still useful. Long-running steps have no
+     * such start.
      */
     @Override
     public boolean shouldRunRemotely(
             StepInstance step, double remoteFactor, long nowMs, long wallMs) {
-        Job job = step.job;
-        long expectedMs = step.expectedMs(mEstimator);
         if (step.plan.longRunning()) {
-            return nowMs - step.readySinceMs > expectedMs;
+            return false;
         }
+        Job job = step.job;
+        long expectedMs = step.expectedMs(mEstimator);
         long objectiveMs = objectiveMs(job);
         long startMs = latencyStartMs(step, nowMs, wallMs);
         long restMs = job.remainingCriticalPathMs(step.occurrence, mEstimator) - expectedMs;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -22,8 +22,11 @@
      */
     private static final long PREEMPTION_LEAD_MS = 2_000;
 
-    /** How long a step waits for its preferred rack while most resources are idle. */
-    private static final long IDLE_RACK_WAIT_MS = 1_500;
+    /**
+     * How long a step waits for its preferred rack before it may run elsewhere. Only steps that end
+     * by themselves wait longer, and only while the workers are busy.
+     */
+    private static final long RACK_WAIT_MS = 1_500;
 
     /** The most gangs with reservations in a round; more would leave too many resources idle. */
     private static final int MAX_RESERVED_STEPS = 2;
@@ -157,10 +160,11 @@
 
     /** Returns whether a step may run on other racks than its data or across racks. */
     private boolean mayRunRemotely(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
-        if (guaranteed && nowMs - step.readySinceMs > mSettings.reclaimMs() / 2) {
+        long waitedMs = nowMs - step.readySinceMs;
+        if (guaranteed && waitedMs > mSettings.reclaimMs() / 2) {
             return true;
         }
-        if (nowMs - step.readySinceMs > IDLE_RACK_WAIT_MS && isMostlyIdle(step)) {
+        if (waitedMs > RACK_WAIT_MS && (step.plan.longRunning() || isMostlyIdle(step))) {
             return true;
         }
         return mOrder.shouldRunRemotely(step, mSettings.remoteFactor(), nowMs, wallMs)
