--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -151,6 +151,24 @@
         report(id, List.of(), List.of());
     }
 
+    /** Adds a worker with an additional label and applies its first report. */
+    void addWorkerWithLabel(String id, String rack, String label) {
+        WorkerStatus plain = entry(id, rack, false);
+        scheduler.onWorkerEntry(
+                new WorkerStatus(
+                        plain.id(),
+                        INCARNATION,
+                        plain.address(),
+                        plain.service(),
+                        false,
+                        0,
+                        plain.capacity(),
+                        Set.of("a", rack, label),
+                        plain.rack()),
+                nowMs);
+        report(id, List.of(), List.of());
+    }
+
     /** Adds a worker in a failure domain, which has not reported yet. */
     void addWorkerEntry(String id, String rack, FailureDomainId domain) {
         scheduler.onWorkerEntry(entry(id, rack, domain), nowMs);
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/PlacementProgressTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/PlacementProgressTest.java
@@ -27,6 +27,20 @@
             assertThat(workersOf(mFixture.startsWithin(BOUND_MS))).containsExactly("w2");
         }
 
+        /** Guards against a wait for the rack because the few workers with a label are busy. */
+        @Test
+        void stepThatMayUseFewWorkersStartsElsewhereOnAnIdleService() {
+            for (int i = 0; i < 5; i++) {
+                mFixture.addWorkerWithLabel("w" + i, i == 0 ? "r1" : "r2", "big");
+                mFixture.addWorker("x" + i, "r3");
+            }
+            mFixture.submit("on", BULK, step(3, 8, LONG_MS).label("big").build());
+            mFixture.acceptStarts(mFixture.runRound());
+            mFixture.submitWithoutGuarantee(
+                    "j1", step(1, 8, LONG_MS).label("big").dataRack("r1").build());
+            assertThat(mFixture.startsWithin(BOUND_MS)).hasSize(1);
+        }
+
         /** Guards against starts away from the data, 3 times as long, on a busy service. */
         @Test
         void stepWaitsForItsRackOnABusyService() {
@@ -42,12 +56,7 @@
     private void fill(String worker, String rack, boolean lasting) {
         mFixture.addWorker(worker, rack);
         StepBuilder task = step(1, 8, LONG_MS).dataRack(rack);
-        occupy(worker, lasting ? task.longRunning() : task);
-    }
-
-    /** Starts a task for which only one worker has room. */
-    private void occupy(String worker, StepBuilder task) {
-        mFixture.submit("on-" + worker, BULK, task.build());
+        mFixture.submit("on-" + worker, BULK, (lasting ? task.longRunning() : task).build());
         mFixture.acceptStarts(mFixture.runRound());
     }
 }
