--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.lycheeroad.coordination.overload.Verdict;
 import org.lycheeroad.state.work.Resources;
+import org.lycheeroad.state.work.ServiceName;
 
 /**
  * Assigns pending tasks to workers, best rank first.
@@ -164,19 +165,23 @@
         if (guaranteed && waitedMs > mSettings.reclaimMs() / 2) {
             return true;
         }
-        if (waitedMs > RACK_WAIT_MS && (step.plan.longRunning() || isMostlyIdle(step))) {
+        if (waitedMs > RACK_WAIT_MS
+                && (step.plan.longRunning() || isMostlyIdle(step.job.queue.service()))) {
             return true;
         }
         return mOrder.shouldRunRemotely(step, mSettings.remoteFactor(), nowMs, wallMs)
                 || !Placement.canRackHold(step, mState.workers.values());
     }
 
-    /** Returns whether at most half of each resource of the step's eligible workers is in use. */
-    private boolean isMostlyIdle(StepInstance step) {
+    /**
+     * Returns whether at most half of each resource of a service's workers is in use, whichever of
+     * them a step may use.
+     */
+    private boolean isMostlyIdle(ServiceName service) {
         Resources capacity = Resources.NONE;
         Resources used = Resources.NONE;
         for (Worker worker : mState.workers.values()) {
-            if (worker.registered && !worker.evacuated && Placement.isEligible(step, worker)) {
+            if (worker.registered && !worker.evacuated && worker.entry.service().equals(service)) {
                 capacity = capacity.plus(worker.entry.capacity());
                 used = used.plus(worker.usedResources());
             }
