--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/PlacementProgressTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/PlacementProgressTest.java
@@ -7,6 +7,7 @@
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.lycheeroad.state.id.WorkerId;
 
 /** Steps start within 3 s beside workers with room for them. */
 class PlacementProgressTest {
@@ -14,6 +15,7 @@
     private static final long LONG_MS = 60_000;
 
     private final JobSchedulerFixture mFixture = new JobSchedulerFixture();
+    private final JobScheduler mScheduler = mFixture.scheduler;
 
     @Nested
     class RackOfTheData {
@@ -41,6 +43,29 @@
             assertThat(mFixture.startsWithin(BOUND_MS)).hasSize(1);
         }
 
+        /** Guards against a wait for resources that lasting tasks hold. */
+        @Test
+        void stepDoesNotWaitForARackFullOfLastingTasks() {
+            fill("w0", "r1", true);
+            fill("w1", "r2", false);
+            mFixture.addWorker("w2", "r2");
+            mFixture.submitWithoutGuarantee("j1", step(1, 8, LONG_MS).dataRack("r1").build());
+            assertThat(workersOf(mFixture.startsWithin(BOUND_MS))).containsExactly("w2");
+        }
+
+        /** Guards against a wait for workers that do not answer. */
+        @Test
+        void stepDoesNotWaitForARackThatCannotBeUsed() {
+            fill("w1", "r2", false);
+            fill("w2", "r2", false);
+            fill("w4", "r2", false);
+            mFixture.addWorker("w0", "r1");
+            mFixture.addWorker("w3", "r2");
+            mScheduler.onWorkerUnresponsive(new WorkerId("w0"));
+            mFixture.submitWithoutGuarantee("j1", step(1, 8, LONG_MS).dataRack("r1").build());
+            assertThat(workersOf(mFixture.startsWithin(BOUND_MS))).containsExactly("w3");
+        }
+
         /** Guards against starts away from the data, 3 times as long, on a busy service. */
         @Test
         void stepWaitsForItsRackOnABusyService() {
