--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -25,7 +25,7 @@
 
     /**
      * How long a step waits for its preferred rack before it may run elsewhere. Only steps that end
-     * by themselves wait longer, and only while the workers are busy.
+     * by themselves wait longer, while the service is busy and their rack may soon be free.
      */
     private static final long RACK_WAIT_MS = 1_500;
 
@@ -165,14 +165,23 @@
         if (guaranteed && waitedMs > mSettings.reclaimMs() / 2) {
             return true;
         }
-        if (waitedMs > RACK_WAIT_MS
-                && (step.plan.longRunning() || isMostlyIdle(step.job.queue.service()))) {
+        if (waitedMs > RACK_WAIT_MS && !isRackWorthALongerWait(step, nowMs)) {
             return true;
         }
         return mOrder.shouldRunRemotely(step, mSettings.remoteFactor(), nowMs, wallMs)
                 || !Placement.canRackHold(step, mState.workers.values());
     }
 
+    /**
+     * Returns whether a step ends by itself, and so takes longer elsewhere, and its rack may soon
+     * be free on a busy service.
+     */
+    private boolean isRackWorthALongerWait(StepInstance step, long nowMs) {
+        return !step.plan.longRunning()
+                && !isMostlyIdle(step.job.queue.service())
+                && Placement.canRackHoldSoon(step, mState.workers.values(), nowMs);
+    }
+
     /**
      * Returns whether at most half of each resource of a service's workers is in use, whichever of
      * them a step may use.
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Placement.java
@@ -157,22 +157,63 @@
 
     /** Returns whether some rack, if it were empty, could run the step at full speed. */
     static boolean canRackHold(StepInstance step, Collection<Worker> workers) {
-        String dataRack = step.plan.dataRack();
-        boolean oneRack = step.plan.rackLocal() && step.plan.count() > 1;
-        if (dataRack.isEmpty() && !oneRack) {
+        if (!prefersRack(step)) {
             return true;
         }
-        Map<RackId, Integer> racks = new HashMap<>();
+        Map<Worker, Resources> capacities = new HashMap<>();
         for (Worker worker : workers) {
-            if (worker.isInService()
-                    && isEligible(step, worker)
-                    && (dataRack.isEmpty() || dataRack.equals(worker.entry.rack().value()))) {
-                int fitting =
-                        countFitting(step, worker, worker.entry.capacity(), step.plan.count());
-                racks.merge(worker.entry.rack(), fitting, Integer::sum);
+            if (worker.isInService()) {
+                capacities.put(worker, worker.entry.capacity());
             }
         }
-        int needed = oneRack || step.plan.gang() ? step.plan.count() : 1;
+        return canRackHold(step, capacities);
+    }
+
+    /**
+     * As {@link #canRackHold} with only the workers that can be used now, and without what
+     * long-running tasks hold there.
+     */
+    static boolean canRackHoldSoon(StepInstance step, Collection<Worker> workers, long nowMs) {
+        if (!prefersRack(step)) {
+            return true;
+        }
+        Map<Worker, Resources> capacities = new HashMap<>();
+        for (Worker worker : workers) {
+            if (worker.isSchedulable(nowMs)) {
+                Resources capacity = worker.entry.capacity();
+                for (Run run : worker.runs.values()) {
+                    if (run.task.step.plan.longRunning()) {
+                        capacity = capacity.minus(run.resources);
+                    }
+                }
+                capacities.put(worker, capacity);
+            }
+        }
+        return canRackHold(step, capacities);
+    }
+
+    /** Returns whether a step runs at full speed only on the rack of its data, or on one rack. */
+    private static boolean prefersRack(StepInstance step) {
+        return !step.plan.dataRack().isEmpty() || needsOneRack(step);
+    }
+
+    private static boolean needsOneRack(StepInstance step) {
+        return step.plan.rackLocal() && step.plan.count() > 1;
+    }
+
+    private static boolean canRackHold(StepInstance step, Map<Worker, Resources> capacities) {
+        String dataRack = step.plan.dataRack();
+        Map<RackId, Integer> racks = new HashMap<>();
+        capacities.forEach(
+                (worker, capacity) -> {
+                    RackId rack = worker.entry.rack();
+                    if (isEligible(step, worker)
+                            && (dataRack.isEmpty() || dataRack.equals(rack.value()))) {
+                        int fitting = countFitting(step, worker, capacity, step.plan.count());
+                        racks.merge(rack, fitting, Integer::sum);
+                    }
+                });
+        int needed = needsOneRack(step) || step.plan.gang() ? step.plan.count() : 1;
         return racks.values().stream().anyMatch(fitting -> fitting >= needed);
     }
 
