--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/PlacementProgressTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/PlacementProgressTest.java
@@ -77,6 +77,25 @@
         }
     }
 
+    @Nested
+    class Reservations {
+        /** Guards against a gang that keeps free the few workers that it and others may use. */
+        @Test
+        void reservationDoesNotHoldUpOthersOnAnIdleService() {
+            for (int i = 0; i < 5; i++) {
+                mFixture.addWorkerWithLabel("w" + i, "r1", "big");
+                mFixture.addWorker("x" + i, "r2");
+            }
+            mFixture.submit("on", BULK, step(2, 8, LONG_MS).label("big").build());
+            mFixture.acceptStarts(mFixture.runRound());
+            mFixture.submitWithoutGuarantee(
+                    "wide", step(4, 8, LONG_MS).gang().label("big").build());
+            assertThat(mFixture.startsWithin(500)).isEmpty();
+            mFixture.submit("small", BULK, step(1, 8, LONG_MS).label("big").build());
+            assertThat(mFixture.startsWithin(BOUND_MS)).hasSize(1);
+        }
+    }
+
     /** Adds a worker and fills it with a task. */
     private void fill(String worker, String rack, boolean lasting) {
         mFixture.addWorker(worker, rack);
