--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -24,10 +24,10 @@
     private static final long PREEMPTION_LEAD_MS = 2_000;
 
     /**
-     * How long a step waits for its preferred rack before it may run elsewhere. Only steps that end
-     * by themselves wait longer, while the service is busy and their rack may soon be free.
+     * How long a step waits beside free resources, for its preferred rack or because they are kept
+     * for a gang. Only steps that end by themselves wait longer, while the service is busy.
      */
-    private static final long RACK_WAIT_MS = 1_500;
+    private static final long MAX_IDLE_WAIT_MS = 1_500;
 
     /** The most gangs with reservations in a round; more would leave too many resources idle. */
     private static final int MAX_RESERVED_STEPS = 2;
@@ -124,7 +124,9 @@
         if (tasks.isEmpty()) {
             return;
         }
-        boolean allowRemote = mayRunRemotely(step, guaranteed, nowMs, wallMs);
+        boolean waitIsOver = hasWaitedBesideIdleWorkers(step, nowMs);
+        step.ignoresKeptCapacity = waitIsOver;
+        boolean allowRemote = waitIsOver || mayRunRemotely(step, guaranteed, nowMs, wallMs);
         Map<Task, Worker> assignments = Placement.place(step, tasks, mState, allowRemote, nowMs);
         int attempt = 0;
         for (Map.Entry<Task, Worker> assignment : assignments.entrySet()) {
@@ -159,29 +161,29 @@
         }
     }
 
+    /**
+     * Returns whether a step has waited for so long that it starts wherever it fits. Steps that end
+     * by themselves have to wait longer while the service is busy.
+     */
+    private boolean hasWaitedBesideIdleWorkers(StepInstance step, long nowMs) {
+        return nowMs - step.readySinceMs > MAX_IDLE_WAIT_MS
+                && (step.plan.longRunning() || isMostlyIdle(step.job.queue.service()));
+    }
+
     /** Returns whether a step may run on other racks than its data or across racks. */
     private boolean mayRunRemotely(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
         long waitedMs = nowMs - step.readySinceMs;
         if (guaranteed && waitedMs > mSettings.reclaimMs() / 2) {
             return true;
         }
-        if (waitedMs > RACK_WAIT_MS && !isRackWorthALongerWait(step, nowMs)) {
+        if (waitedMs > MAX_IDLE_WAIT_MS
+                && !Placement.canRackHoldSoon(step, mState.workers.values(), nowMs)) {
             return true;
         }
         return mOrder.shouldRunRemotely(step, mSettings.remoteFactor(), nowMs, wallMs)
                 || !Placement.canRackHold(step, mState.workers.values());
     }
 
-    /**
-     * Returns whether a step ends by itself, and so takes longer elsewhere, and its rack may soon
-     * be free on a busy service.
-     */
-    private boolean isRackWorthALongerWait(StepInstance step, long nowMs) {
-        return !step.plan.longRunning()
-                && !isMostlyIdle(step.job.queue.service())
-                && Placement.canRackHoldSoon(step, mState.workers.values(), nowMs);
-    }
-
     /**
      * Returns whether at most half of each resource of a service's workers is in use, whichever of
      * them a step may use.
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
@@ -17,6 +17,9 @@
     /** When all steps that this one depends on were first found done; negative before that. */
     public long readySinceMs = -1;
 
+    /** Whether the step may use what is kept free for other steps until running tasks end. */
+    public boolean ignoresKeptCapacity;
+
     /** Whether the room that the step needs counts in the mean of its queue. */
     public boolean countedInMeanRoom;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -165,7 +165,8 @@
     Resources resourcesFreeFor(StepInstance step) {
         Resources free = freeResources();
         for (Reservation reservation : reservations) {
-            if (reservation.step != step) {
+            boolean binding = reservation.byPreemption || !step.ignoresKeptCapacity;
+            if (reservation.step != step && binding) {
                 free = free.minus(reservation.resources());
             }
         }
