--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/AdviceRequesterTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/AdviceRequesterTest.java
@@ -7,6 +7,8 @@
 import static org.lycheeroad.coordination.jobs.JobSchedulerFixture.workersOf;
 import static org.lycheeroad.coordination.jobs.StepBuilder.step;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -114,6 +116,35 @@
         assertThat(mScheduler.takeAdviceRequests()).hasSize(2);
     }
 
+    /**
+     * Guards against a step that gets no answer in time because the policy, which handles requests
+     * one by one, is busy with gangs of a better rank that do not fit.
+     */
+    @Test
+    void gangsThatDoNotFitLeaveTheirTurnToOtherSteps() {
+        for (int i = 0; i < 240; i++) {
+            mFixture.addWorker("x" + i, "r" + i / 20);
+        }
+        for (int i = 0; i < 4; i++) {
+            mFixture.submit("gang" + i, ADVISED, step(300, 8, 1_000).gang().build());
+        }
+        mFixture.submit("j1", ADVISED, step(1, 8, 60_000).build());
+        List<JobAction.Start> starts = List.of();
+        Deque<AdviceRequest> queued = new ArrayDeque<>();
+        for (int i = 0; i < 15 && starts.isEmpty(); i++) {
+            starts = starts(mFixture.runRound());
+            queued.addAll(mScheduler.takeAdviceRequests());
+            // 30 workers take 170 ms.
+            mFixture.nowMs += 200;
+            if (!queued.isEmpty()) {
+                Map<String, String> all = new HashMap<>();
+                queued.peek().workers().forEach(w -> all.put(w.value(), "t"));
+                answer(queued.poll(), all);
+            }
+        }
+        assertThat(starts).hasSize(1);
+    }
+
     private AdviceRequest takeOnlyRequest() {
         List<AdviceRequest> requests = mScheduler.takeAdviceRequests();
         assertThat(requests).hasSize(1);
