--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/AdviceRequester.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/AdviceRequester.java
@@ -9,7 +9,10 @@
 import org.lycheeroad.state.id.WorkerId;
 
 /**
- * Asks placement policies about the steps that a round could not place completely, best rank first.
+ * Asks placement policies about the steps that a round could not place completely.
+ *
+ * <p>One request at a time is for the step that was asked about longest ago among those that have
+ * waited long enough beside idle workers; the others are for the steps of the best rank.
  *
  * <p>A policy handles the requests of a VM one by one and needs time for each listed worker.
  * Therefore the number of pending requests is small, and a request lists only workers on which the
@@ -25,10 +28,20 @@
     /** The delay until the next request for a step after one that was refused or not answered. */
     private static final long RETRY_MS = 300;
 
+    /** A step and the number of its pending tasks without a worker. */
+    private record WaitingStep(StepInstance step, int pending) {}
+
     private final ClusterState mState;
+
+    /** The steps that the current round could not place completely, best rank first. */
+    private final List<WaitingStep> mWaitingSteps = new ArrayList<>();
+
     private List<AdviceRequest> mNewRequests = new ArrayList<>();
     private int mPendingRequests;
 
+    /** The pending request that was issued out of rank, or null. */
+    private AdviceRequest mRequestOutOfRank;
+
     AdviceRequester(ClusterState state) {
         mState = state;
     }
@@ -40,25 +53,64 @@
         return requests;
     }
 
-    /** Requests a decision about workers for some pending tasks of a step. */
-    void request(StepInstance step, int pending, long nowMs) {
-        if (step.job.queue.advice() == null
-                || step.policyDecisions.requestPending
-                || nowMs < step.policyDecisions.retryAtMs
+    /** Begins a round; an error may have ended the one before early. */
+    void beginRound() {
+        mWaitingSteps.clear();
+    }
+
+    /** Adds a step to those that wait for workers in this round; called in the order of rank. */
+    void addWaiting(StepInstance step, int pending) {
+        if (step.job.queue.advice() != null) {
+            mWaitingSteps.add(new WaitingStep(step, pending));
+        }
+    }
+
+    /** Issues the requests that may be pending beside the earlier ones. */
+    void issueRequests(long nowMs) {
+        if (mRequestOutOfRank == null) {
+            List<WaitingStep> overdue = new ArrayList<>(mWaitingSteps);
+            overdue.removeIf(waiting -> !waiting.step.idleWaitIsOver);
+            overdue.sort(Comparator.comparingLong(w -> w.step.policyDecisions.lastRequestAtMs));
+            for (WaitingStep waiting : overdue) {
+                mRequestOutOfRank = request(waiting, nowMs);
+                if (mRequestOutOfRank != null) {
+                    break;
+                }
+            }
+        }
+        for (WaitingStep waiting : mWaitingSteps) {
+            request(waiting, nowMs);
+        }
+    }
+
+    /** Issues a request for a step and returns it, or null if none is possible. */
+    private AdviceRequest request(WaitingStep waiting, long nowMs) {
+        StepInstance step = waiting.step;
+        PolicyDecisions decisions = step.policyDecisions;
+        if (decisions.requestPending
+                || nowMs < decisions.retryAtMs
                 || mPendingRequests >= MAX_PENDING_REQUESTS) {
-            return;
+            return null;
         }
-        List<WorkerId> workers = candidateWorkers(step, pending, nowMs);
-        if (!workers.isEmpty()) {
-            step.policyDecisions.requestPending = true;
-            mPendingRequests++;
-            mNewRequests.add(new AdviceRequest(step.job.id, step.occurrence, step.index, workers));
+        List<WorkerId> workers = candidateWorkers(step, waiting.pending, nowMs);
+        if (workers.isEmpty()) {
+            return null;
         }
+        decisions.requestPending = true;
+        decisions.lastRequestAtMs = nowMs;
+        mPendingRequests++;
+        AdviceRequest request =
+                new AdviceRequest(step.job.id, step.occurrence, step.index, workers);
+        mNewRequests.add(request);
+        return request;
     }
 
     /** Applies the answer to a request; {@code tickets} is null if there was none. */
     void onAnswer(AdviceRequest request, Map<WorkerId, String> tickets, long validMs, long nowMs) {
         mPendingRequests--;
+        if (request.equals(mRequestOutOfRank)) {
+            mRequestOutOfRank = null;
+        }
         Job job = mState.activeJobs.get(request.job());
         if (job == null || !job.occurrences.containsKey(request.occurrence())) {
             return;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -95,9 +95,11 @@
         }
         ready.sort(Comparator.comparing(ranks::get));
         mReservedSteps = 0;
+        mAdviceRequester.beginRound();
         for (StepInstance step : ready) {
             placeStep(step, guaranteed, nowMs, wallMs);
         }
+        mAdviceRequester.issueRequests(nowMs);
     }
 
     private List<StepInstance> readySteps(long nowMs, long wallMs) {
@@ -124,9 +126,9 @@
         if (tasks.isEmpty()) {
             return;
         }
-        boolean waitIsOver = hasWaitedBesideIdleWorkers(step, nowMs);
-        step.ignoresKeptCapacity = waitIsOver;
-        boolean allowRemote = waitIsOver || mayRunRemotely(step, guaranteed, nowMs, wallMs);
+        step.idleWaitIsOver = hasWaitedBesideIdleWorkers(step, nowMs);
+        boolean allowRemote =
+                step.idleWaitIsOver || mayRunRemotely(step, guaranteed, nowMs, wallMs);
         Map<Task, Worker> assignments = Placement.place(step, tasks, mState, allowRemote, nowMs);
         int attempt = 0;
         for (Map.Entry<Task, Worker> assignment : assignments.entrySet()) {
@@ -144,7 +146,7 @@
             }
         }
         if (assignments.size() < tasks.size()) {
-            mAdviceRequester.request(step, tasks.size() - assignments.size(), nowMs);
+            mAdviceRequester.addWaiting(step, tasks.size() - assignments.size());
         }
         if (assignments.size() < tasks.size() && !mReclaimer.hasPreemptedFor(step)) {
             double maxLossCoreMs = maxLossCoreMs(step, guaranteed, nowMs, wallMs);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/PolicyDecisions.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/PolicyDecisions.java
@@ -24,6 +24,9 @@
     /** Whether a request for the step has not been answered yet. */
     public boolean requestPending;
 
+    /** When the last request for the step was issued. */
+    public long lastRequestAtMs = Long.MIN_VALUE;
+
     /** The earliest time of the next request after one that was not answered. */
     public long retryAtMs;
 
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/StepInstance.java
@@ -17,8 +17,11 @@
     /** When all steps that this one depends on were first found done; negative before that. */
     public long readySinceMs = -1;
 
-    /** Whether the step may use what is kept free for other steps until running tasks end. */
-    public boolean ignoresKeptCapacity;
+    /**
+     * Whether the step has waited long enough beside idle workers. It then starts wherever it fits,
+     * also on what is kept free for other steps, and gets its turn at the placement policy.
+     */
+    public boolean idleWaitIsOver;
 
     /** Whether the room that the step needs counts in the mean of its queue. */
     public boolean countedInMeanRoom;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -165,7 +165,7 @@
     Resources resourcesFreeFor(StepInstance step) {
         Resources free = freeResources();
         for (Reservation reservation : reservations) {
-            boolean binding = reservation.byPreemption || !step.ignoresKeptCapacity;
+            boolean binding = reservation.byPreemption || !step.idleWaitIsOver;
             if (reservation.step != step && binding) {
                 free = free.minus(reservation.resources());
             }
