--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/DecisionRound.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.lycheeroad.coordination.overload.Verdict;
 import org.lycheeroad.state.work.Resources;
+import org.lycheeroad.state.work.ServiceName;
 
 /**
  * Assigns pending tasks to workers, best rank first.
@@ -22,8 +23,11 @@
      */
     private static final long PREEMPTION_LEAD_MS = 2_000;
 
-    /** How long a step waits for its preferred rack while most resources are idle. */
-    private static final long IDLE_RACK_WAIT_MS = 1_500;
+    /**
+     * How long a step waits beside free resources, for its preferred rack or because they are kept
+     * for a gang. Only steps that end by themselves wait longer, while the service is busy.
+     */
+    private static final long MAX_IDLE_WAIT_MS = 1_500;
 
     /** The most gangs with reservations in a round; more would leave too many resources idle. */
     private static final int MAX_RESERVED_STEPS = 2;
@@ -91,9 +95,11 @@
         }
         ready.sort(Comparator.comparing(ranks::get));
         mReservedSteps = 0;
+        mAdviceRequester.beginRound();
         for (StepInstance step : ready) {
             placeStep(step, guaranteed, nowMs, wallMs);
         }
+        mAdviceRequester.issueRequests(nowMs);
     }
 
     private List<StepInstance> readySteps(long nowMs, long wallMs) {
@@ -120,7 +126,9 @@
         if (tasks.isEmpty()) {
             return;
         }
-        boolean allowRemote = mayRunRemotely(step, guaranteed, nowMs, wallMs);
+        step.idleWaitIsOver = hasWaitedBesideIdleWorkers(step, nowMs);
+        boolean allowRemote =
+                step.idleWaitIsOver || mayRunRemotely(step, guaranteed, nowMs, wallMs);
         Map<Task, Worker> assignments = Placement.place(step, tasks, mState, allowRemote, nowMs);
         int attempt = 0;
         for (Map.Entry<Task, Worker> assignment : assignments.entrySet()) {
@@ -138,7 +146,7 @@
             }
         }
         if (assignments.size() < tasks.size()) {
-            mAdviceRequester.request(step, tasks.size() - assignments.size(), nowMs);
+            mAdviceRequester.addWaiting(step, tasks.size() - assignments.size());
         }
         if (assignments.size() < tasks.size() && !mReclaimer.hasPreemptedFor(step)) {
             double maxLossCoreMs = maxLossCoreMs(step, guaranteed, nowMs, wallMs);
@@ -155,24 +163,38 @@
         }
     }
 
+    /**
+     * Returns whether a step has waited for so long that it starts wherever it fits. Steps that end
+     * by themselves have to wait longer while the service is busy.
+     */
+    private boolean hasWaitedBesideIdleWorkers(StepInstance step, long nowMs) {
+        return nowMs - step.readySinceMs > MAX_IDLE_WAIT_MS
+                && (step.plan.longRunning() || isMostlyIdle(step.job.queue.service()));
+    }
+
     /** Returns whether a step may run on other racks than its data or across racks. */
     private boolean mayRunRemotely(StepInstance step, boolean guaranteed, long nowMs, long wallMs) {
-        if (guaranteed && nowMs - step.readySinceMs > mSettings.reclaimMs() / 2) {
+        long waitedMs = nowMs - step.readySinceMs;
+        if (guaranteed && waitedMs > mSettings.reclaimMs() / 2) {
             return true;
         }
-        if (nowMs - step.readySinceMs > IDLE_RACK_WAIT_MS && isMostlyIdle(step)) {
+        if (waitedMs > MAX_IDLE_WAIT_MS
+                && !Placement.canRackHoldSoon(step, mState.workers.values(), nowMs)) {
             return true;
         }
         return mOrder.shouldRunRemotely(step, mSettings.remoteFactor(), nowMs, wallMs)
                 || !Placement.canRackHold(step, mState.workers.values());
     }
 
-    /** Returns whether at most half of each resource of the step's eligible workers is in use. */
-    private boolean isMostlyIdle(StepInstance step) {
+    /**
+     * Returns whether at most half of each resource of a service's workers is in use, whichever of
+     * them a step may use.
+     */
+    private boolean isMostlyIdle(ServiceName service) {
         Resources capacity = Resources.NONE;
         Resources used = Resources.NONE;
         for (Worker worker : mState.workers.values()) {
-            if (worker.registered && !worker.evacuated && Placement.isEligible(step, worker)) {
+            if (worker.registered && !worker.evacuated && worker.entry.service().equals(service)) {
                 capacity = capacity.plus(worker.entry.capacity());
                 used = used.plus(worker.usedResources());
             }
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -151,6 +151,24 @@
         report(id, List.of(), List.of());
     }
 
+    /** Adds a worker with an additional label and applies its first report. */
+    void addWorkerWithLabel(String id, String rack, String label) {
+        WorkerStatus plain = entry(id, rack, false);
+        scheduler.onWorkerEntry(
+                new WorkerStatus(
+                        plain.id(),
+                        INCARNATION,
+                        plain.address(),
+                        plain.service(),
+                        false,
+                        0,
+                        plain.capacity(),
+                        Set.of("a", rack, label),
+                        plain.rack()),
+                nowMs);
+        report(id, List.of(), List.of());
+    }
+
     /** Adds a worker in a failure domain, which has not reported yet. */
     void addWorkerEntry(String id, String rack, FailureDomainId domain) {
         scheduler.onWorkerEntry(entry(id, rack, domain), nowMs);
@@ -178,6 +196,22 @@
         scheduler.onJob(new JobId(job), record, null, 0, nowMs);
     }
 
+    /** Submits an urgent job of a team without a guarantee. */
+    void submitWithoutGuarantee(String job, StepPlan... steps) {
+        submit(job, URGENT, new TeamId("no-guarantee"), nowMs, steps);
+    }
+
+    /** Runs rounds until some start or for some time; returns the starts of the last round. */
+    List<JobAction.Start> startsWithin(long limitMs) {
+        long endMs = nowMs + limitMs;
+        List<JobAction.Start> starts = starts(runRound());
+        while (starts.isEmpty() && nowMs < endMs) {
+            nowMs += 100;
+            starts = starts(runRound());
+        }
+        return starts;
+    }
+
     /** Runs a decision round, saves all progress and returns the orders. */
     List<JobAction> runRound() {
         return runRound(true);
