--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/JobSchedulerFixture.java
@@ -44,6 +44,10 @@
     static final long INCARNATION = 1_000;
     static final SchedulerSettings SETTINGS =
             new SchedulerSettings(3, 2_700, 6_520, 120_000, false);
+    static final List<TeamConfig> TEAMS =
+            List.of(
+                    new TeamConfig(TEAM, List.of("key"), GUARANTEED_ACCELERATORS),
+                    new TeamConfig(OTHER_TEAM, List.of("key2"), GUARANTEED_ACCELERATORS));
     private static final ServiceName SERVICE = new ServiceName("service");
 
     public final JobScheduler scheduler;
@@ -72,9 +76,7 @@
         return new ClusterConfig(
                 1,
                 List.of(queue(URGENT, 0, 1.5, 600), queue(BULK, 1, 3, 1_500), advisedQueue()),
-                List.of(
-                        new TeamConfig(TEAM, List.of("key"), GUARANTEED_ACCELERATORS),
-                        new TeamConfig(OTHER_TEAM, List.of("key2"), GUARANTEED_ACCELERATORS)));
+                TEAMS);
     }
 
     private static QueueConfig advisedQueue() {
@@ -91,7 +93,7 @@
                 new AdviceTiming(20, 5, 3_000));
     }
 
-    private static QueueConfig queue(
+    static QueueConfig queue(
             QueueName name, int priority, double slackFactor, long targetLatencyMs) {
         return new QueueConfig(
                 name,
--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/StepBuilder.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/StepBuilder.java
@@ -18,6 +18,8 @@
     private boolean mFills;
     private long mTailTargetMs;
     private int mMayMiss;
+    private int mMaxPerWorker;
+    private List<Integer> mAfter = List.of();
 
     private StepBuilder(int count, Resources need, long estimateMs) {
         mCount = count;
@@ -77,17 +79,27 @@
         return this;
     }
 
+    StepBuilder maxPerWorker(int count) {
+        mMaxPerWorker = count;
+        return this;
+    }
+
+    StepBuilder after(Integer... steps) {
+        mAfter = List.of(steps);
+        return this;
+    }
+
     StepPlan build() {
         return new StepPlan(
                 mCount,
                 mNeed,
                 mEstimateMs,
-                List.of(),
+                mAfter,
                 mGang,
                 mRackLocal,
                 mLabel,
                 mDataRack,
-                0,
+                mMaxPerWorker,
                 mCheckpointing,
                 false,
                 mLongRunning,
