--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/LivenessSimulation.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/LivenessSimulation.java
@@ -316,7 +316,13 @@
                 mWorld.random.nextBoolean()
                         ? JobSchedulerFixture.TEAM
                         : JobSchedulerFixture.OTHER_TEAM;
-        JobRecord record = new JobRecord(queue, team, plan, mWorld.nowMs);
+        JobRecord record =
+                new JobRecord(
+                        queue,
+                        team,
+                        plan,
+                        mWorld.nowMs,
+                        mWorld.config.queue(queue).orElseThrow().settings());
         mWorld.jobs.put(id, record);
         mWorld.trace("accepts " + id + " " + record);
         mWorld.schedule(
