--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -151,6 +151,7 @@
         mState.rollout.onEntry(worker, nowMs);
         if (worker.incarnation == 0) {
             worker.incarnation = entry.incarnationStartMs();
+            worker.incarnationKnownAtMs = nowMs;
         } else if (entry.incarnationStartMs() > worker.incarnation) {
             // The new incarnation may have received a start already; its first report shows it.
             worker.hasAnswered = false;
@@ -461,6 +462,7 @@
         }
         Worker worker = mState.getOrAddWorker(saved.worker());
         worker.incarnation = Math.max(worker.incarnation, saved.workerBornMs());
+        worker.incarnationKnownAtMs = nowMs;
         Run run = new Run(new RunRef(task.ref, saved.attempt()), task, worker, Phase.UNCONFIRMED);
         run.confirmedSpeedPercent = Run.UNKNOWN_SPEED_PERCENT;
         run.workerIncarnation = saved.workerBornMs();
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -84,10 +84,11 @@
 
     /** Applies a worker's run report, which was requested at {@code requestedAtMs}. */
     void onRunReport(Worker worker, WorkerRuns report, long requestedAtMs, long nowMs) {
-        if (report.incarnationStartMs() < worker.incarnation) {
+        if (report.incarnationStartMs() < worker.incarnation
+                && requestedAtMs <= worker.incarnationKnownAtMs) {
             return;
         }
-        if (report.incarnationStartMs() > worker.incarnation) {
+        if (report.incarnationStartMs() != worker.incarnation) {
             onNewIncarnation(worker, report, requestedAtMs, nowMs);
         }
         worker.hasAnswered = true;
@@ -122,6 +123,7 @@
     private void onNewIncarnation(
             Worker worker, WorkerRuns report, long requestedAtMs, long nowMs) {
         worker.incarnation = report.incarnationStartMs();
+        worker.incarnationKnownAtMs = nowMs;
         worker.newestEndNumber = 0;
         worker.acknowledgedEnd = 0;
         worker.unsavedEnds.clear();
@@ -535,7 +537,7 @@
     private boolean isOverIfAbsent(Run run, long requestedAtMs) {
         // The expiry time of an order means nothing on the clock of a later incarnation.
         long maxStartDelayMs =
-                run.workerIncarnation < run.worker.incarnation
+                run.workerIncarnation != run.worker.incarnation
                         ? MAX_CALL_DELAY_MS
                         : mSettings.orderExpiryMs();
         boolean startExpired = requestedAtMs > run.lastStartSentAtMs + maxStartDelayMs;
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/Worker.java
@@ -74,6 +74,12 @@
      */
     public long incarnation;
 
+    /**
+     * When {@link #incarnation} became known. A reply to a later request is of that incarnation or
+     * a newer one, even one with an earlier start time: the worker's time of day may be set back.
+     */
+    public long incarnationKnownAtMs;
+
     /** Whether the worker is in the directory. */
     public boolean registered;
 
