--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/QuarantineYield.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/QuarantineYield.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.lycheeroad.state.work.Resources;
+import org.lycheeroad.state.work.ServiceName;
 
 /**
  * Ends quarantines early for steps that stand still and that no other worker can run.
@@ -46,12 +47,15 @@
         quarantined.sort(Comparator.comparingLong(worker -> worker.quarantinedSinceMs));
         Set<StepInstance> waiting = waitingSteps();
         mWaitingSinceMs.keySet().retainAll(waiting);
+        Map<ServiceName, Boolean> halfIdle = new HashMap<>();
         for (StepInstance step : waiting) {
             Long sinceMs = mWaitingSinceMs.putIfAbsent(step, nowMs);
             boolean lasting = step.plan.longRunning();
             if (sinceMs != null
                     && nowMs - sinceMs >= (lasting ? MAX_LASTING_WAIT_MS : MAX_WAIT_MS)
-                    && (lasting || isServiceHalfIdle(step))) {
+                    && (lasting
+                            || halfIdle.computeIfAbsent(
+                                    step.job.queue.service(), this::isHalfIdle))) {
                 release(step, quarantined, nowMs);
             }
         }
@@ -88,11 +92,11 @@
         return false;
     }
 
-    private boolean isServiceHalfIdle(StepInstance step) {
+    private boolean isHalfIdle(ServiceName service) {
         Resources capacity = Resources.NONE;
         Resources used = Resources.NONE;
         for (Worker worker : mState.workers.values()) {
-            if (worker.registered && worker.entry.service().equals(step.job.queue.service())) {
+            if (worker.registered && worker.entry.service().equals(service)) {
                 capacity = capacity.plus(worker.entry.capacity());
                 used = used.plus(worker.usedResources());
             }
