--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/WorkerQuarantine.java
@@ -99,26 +99,28 @@
     }
 
     /**
-     * Returns whether a step rather than its workers is the cause of its failures: the same task or
-     * gang has failed on two workers, or most tasks have, and none has succeeded. Failing workers
-     * are few, and the next attempt prefers workers with a recent success.
+     * Returns whether a step rather than its workers is the cause of its failures, and none of its
+     * tasks has succeeded: a gang has used up its attempts, or most tasks that failed did so on two
+     * workers, or most tasks failed. A wide step often meets a failing worker, even twice.
      */
     private static boolean isAtFault(StepInstance step) {
         Set<WorkerId> failedWorkers = new HashSet<>();
-        boolean failedTwice = false;
+        int failedTasks = 0;
+        int failedOnTwo = 0;
         for (Task task : step.tasks) {
             if (task.done) {
                 return false;
             }
             failedWorkers.addAll(task.failedWorkers);
-            failedTwice |= task.failedWorkers.size() > 1;
+            failedTasks += task.failedWorkers.isEmpty() ? 0 : 1;
+            failedOnTwo += task.failedWorkers.size() > 1 ? 1 : 0;
         }
-        if (step.plan.gang()) {
-            // The members of one attempt may fail on several workers.
-            return failedTwice && step.gangFailures > 1;
+        if (failedWorkers.size() < 2) {
+            return false;
         }
-        return failedTwice
-                || (failedWorkers.size() > 1 && failedWorkers.size() * 2 > step.tasks.size());
+        return step.plan.gang()
+                ? step.gangFailures >= step.job.queue.maxAttempts()
+                : failedOnTwo * 2 > failedTasks || failedWorkers.size() * 2 > step.tasks.size();
     }
 
     /** Ends the quarantines for which the failures of a step were needed. */
