--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
@@ -144,6 +144,7 @@
     @Test
     void rulesHoldForLateCallsBeforeARestartIsKnown() {
         assertThat(explore(allBut(Fault.IDLE_PHASES), 10_039, 1)).isEmpty();
+        assertThat(explore(allBut(Fault.IDLE_PHASES), 10_169, 1)).isEmpty();
         assertThat(explore(allBut(Fault.IDLE_PHASES), 10_764, 1)).isEmpty();
     }
 
