--- a/coordination/src/test/java/org/lycheeroad/coordination/jobs/LivenessExplorationTest.java
+++ b/coordination/src/test/java/org/lycheeroad/coordination/jobs/LivenessExplorationTest.java
@@ -173,6 +173,13 @@
         assertThat(exploreSeeds(EnumSet.of(Kind.LASTING, Kind.RACKS), 4, 5, 19)).isEmpty();
     }
 
+    /** Guards against steps that wait for a full rack, as half of the workers they may use are. */
+    @Test
+    void progressOfJobsWithDataOnFullRacks() {
+        Set<Kind> kinds = EnumSet.of(Kind.LASTING, Kind.RACKS, Kind.POLICY);
+        assertThat(exploreSeeds(kinds, 0, 1, 8)).isEmpty();
+    }
+
     /** Guards against restarted workers that stay barred although no call can come late. */
     @Test
     void progressWithRestartsUnderTheSameId() {
