--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -154,8 +154,10 @@
     }
 
     void update(WorkerStatus entry) {
-        if (entry.incarnationStartMs() < mEntry.incarnationStartMs()) {
-            // Written by the earlier incarnation; the scheduler ignores it, too.
+        if (entry.incarnationStartMs() < mEntry.incarnationStartMs()
+                && entry.incarnationStartMs() != mRepliedIncarnationMs) {
+            // Written by an earlier incarnation, unless a worker whose time of day was set back has
+            // replied as this one.
             return;
         }
         if (entry.incarnationStartMs() != mEntry.incarnationStartMs()) {
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerSessionTest.java
@@ -365,15 +365,26 @@
             assertStartIsSent();
         }
 
+        /** Guards against a worker that gets no starts after its time of day was set back. */
+        @Test
+        void isAcceptedWithAnEarlierTimeOfDayThatAReplyHasShown() throws Exception {
+            restartAt(BORN_MS - 1);
+            assertStartIsSent();
+        }
+
         private void restart() throws Exception {
+            restartAt(RESTARTED_BORN_MS);
+        }
+
+        private void restartAt(long bornMs) throws Exception {
             mGateway.answerNextPoll(List.of());
             run(
                     () -> {
                         mScheduler.onWorkerUnresponsive(WORKER);
                         mSession.pollIfDue();
                     });
-            mGateway.answerNextPollRestarted();
-            applyEntry(RESTARTED_BORN_MS);
+            mGateway.answerNextPollRestarted(bornMs);
+            applyEntry(bornMs);
         }
 
         private void applyEntry(long bornMs) throws Exception {
@@ -524,10 +535,14 @@
 
         /** Waits for a poll and replies as a new incarnation, which has no runs. */
         Poll answerNextPollRestarted() throws Exception {
+            return answerNextPollRestarted(RESTARTED_BORN_MS);
+        }
+
+        Poll answerNextPollRestarted(long bornMs) throws Exception {
             return replyToNextPoll(
                     new PollReply(
                             OrderAnswer.ACCEPTED,
-                            new WorkerRuns(1, RESTARTED_BORN_MS, List.of(), List.of(), true)));
+                            new WorkerRuns(1, bornMs, List.of(), List.of(), true)));
         }
 
         /** Waits for a start or stop order and returns its answer, which the test completes. */
