--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/JobScheduler.java
@@ -406,6 +406,15 @@
         return worker != null && !(worker.runs.isEmpty() && worker.unrecordedRuns.isEmpty());
     }
 
+    /**
+     * Returns whether a call that was not answered may still start or extend a run of a worker, if
+     * the worker has restarted or will.
+     */
+    public boolean mayRunByCallsInTransit(WorkerId id, long nowMs) {
+        Worker worker = mState.workers.get(id);
+        return worker != null && mTracker.mayRunByCallsInTransit(worker, nowMs);
+    }
+
     /** Returns whether a worker has serving and best-effort runs, and so needs frequent polls. */
     public boolean hasServingAndBestEffortRuns(WorkerId id) {
         Worker worker = mState.workers.get(id);
--- a/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
+++ b/coordination/src/main/java/org/lycheeroad/coordination/jobs/RunTracker.java
@@ -168,6 +168,11 @@
         }
     }
 
+    boolean mayRunByCallsInTransit(Worker worker, long nowMs) {
+        return worker.runs.values().stream()
+                .anyMatch(run -> mayStillStart(run) || nowMs <= earlierLeasesUntilMs(run));
+    }
+
     /** Removes the runs of a worker at whose address another process answers. */
     void onWorkerReplaced(Worker worker, long nowMs) {
         for (Run run : new ArrayList<>(worker.runs.values())) {
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/OwnerSession.java
@@ -97,6 +97,7 @@
     private final Set<FailureDomainId> mEvacuatedDomains = new HashSet<>();
     private boolean mSilentWorkersLoaded;
     private boolean mProgressLoaded;
+    private boolean mWorkersLoaded;
     private boolean mJobsLoaded;
 
     /** Whether the requested evacuations are known, so that runs may start. */
@@ -244,8 +245,10 @@
 
     private void makeDecisions() {
         mWorkerSessions.values().forEach(WorkerSession::checkLeaseExpiry);
-        expireLeasesOfAbsentWorkers();
-        recordSilentWorkers();
+        if (mWorkersLoaded) {
+            expireLeasesOfAbsentWorkers();
+            recordSilentWorkers();
+        }
         removeDepartedWorkers();
         mScheduler.runDecisionRound(mClock.monotonicMs(), mClock.wallMs());
         sendOrders();
@@ -292,10 +295,17 @@
         return mSilentWorkers.earlierLeasesExpiredAtMs(id, mEarlierLeasesExpiredAtMs);
     }
 
-    /** Lets the next owner know for how long the leases of silent workers still last. */
+    /**
+     * Lets the next owner know for how long the leases of silent workers still last. A worker to
+     * which starts without an answer are in transit is left out, as the record does not tell the
+     * next owner of them.
+     */
     private void recordSilentWorkers() {
         Map<WorkerId, Long> expiredAtMs = new HashMap<>();
         for (WorkerId id : mScheduler.workersWithRuns()) {
+            if (mScheduler.mayRunByCallsInTransit(id, mClock.monotonicMs())) {
+                continue;
+            }
             WorkerSession session = mWorkerSessions.get(id);
             if (session == null) {
                 expiredAtMs.put(id, leasesOfAbsentWorkerExpiredAtMs(id));
@@ -687,6 +697,7 @@
                     mScheduler.onWorkerUnregistered(id);
                 }
             }
+            mWorkersLoaded = true;
         }
 
         @Override
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/SilentWorkerRecorder.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/SilentWorkerRecorder.java
@@ -28,10 +28,14 @@
  * run on the owner's executor.
  */
 final class SilentWorkerRecorder {
-    /** How much of the wait an owner that ends without notice may lose for the next one. */
+    /**
+     * The age of the record when it is written again. The time from its last write to when the next
+     * owner reads it does not count towards the wait.
+     */
     private static final long WRITE_INTERVAL_MS = 1_000;
 
-    private static final long RETRY_INTERVAL_MS = 250;
+    /** Bounds the writes if many workers fall silent and answer again. */
+    private static final long MIN_WRITE_INTERVAL_MS = 200;
 
     private final MetadataStore mStore;
     private final SerialExecutor mExecutor;
@@ -48,7 +52,7 @@
     private long mRevision;
     private boolean mInFlight;
     private long mWrittenAtMs = Long.MIN_VALUE / 2;
-    private long mRetryAtMs = Long.MIN_VALUE / 2;
+    private long mNextWriteAtMs = Long.MIN_VALUE / 2;
 
     /** Whether the last write was not confirmed. */
     private boolean mOutcomeUnknown;
@@ -117,7 +121,7 @@
                 mOutcomeUnknown
                         || !expiredAtMs.keySet().equals(mListed)
                         || (mListsRemainingTime && nowMs - mWrittenAtMs >= WRITE_INTERVAL_MS);
-        if (isDue && !mInFlight && !mStopped && nowMs >= mRetryAtMs && mTerm.isLeaseValid()) {
+        if (isDue && !mInFlight && !mStopped && nowMs >= mNextWriteAtMs && mTerm.isLeaseValid()) {
             write(expiredAtMs, nowMs);
         }
     }
@@ -146,6 +150,7 @@
                 mStore.commit(transaction),
                 (result, e) -> {
                     mInFlight = false;
+                    mNextWriteAtMs = mClock.monotonicMs() + MIN_WRITE_INTERVAL_MS;
                     mOutcomeUnknown = !(result instanceof CommitResult.Committed);
                     if (result instanceof CommitResult.Committed committed) {
                         mRevision = committed.revision();
@@ -155,7 +160,6 @@
                         mWrittenAtMs = nowMs;
                         return;
                     }
-                    mRetryAtMs = mClock.monotonicMs() + RETRY_INTERVAL_MS;
                     if (result instanceof CommitResult.Conflict conflict) {
                         onConflict(conflict.currentKeyValues());
                     }
--- a/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
+++ b/scheduler/src/main/java/org/lycheeroad/scheduler/owner/WorkerSession.java
@@ -38,6 +38,9 @@
     /** Polls of a worker with runs follow each other within a second; its restart takes longer. */
     private static final long RECENT_RESPONSE_MS = 1_500;
 
+    /** How long no lease was granted to a worker that counts as silent; one poll may be lost. */
+    private static final long MIN_SILENCE_MS = 1_500;
+
     /** For an unreachable worker without runs; about as long as between updates of its entry. */
     private static final long IDLE_RETRY_INTERVAL_MS = 1_500;
 
@@ -213,10 +216,12 @@
      * some time, because it does not answer.
      */
     OptionalLong silentUntilMs() {
-        boolean silent = mUnreachable || !mWorkerClockKnown;
+        boolean listedAndNotHeard =
+                !mWorkerClockKnown && !mSilentWorkers.mayGrantLease(mEntry.id());
+        boolean silent = mUnreachable || listedAndNotHeard;
         long longestMs = latestLeaseExpiryMs(mClock.monotonicMs(), mSettings.maxWorkerLeaseMs());
         return silent
-                        && longestMs - mLeasesExpiredAtMs > RECENT_RESPONSE_MS
+                        && longestMs - mLeasesExpiredAtMs > MIN_SILENCE_MS
                         && mScheduler.mayHaveRuns(mEntry.id())
                 ? OptionalLong.of(mLeasesExpiredAtMs)
                 : OptionalLong.empty();
@@ -345,7 +350,7 @@
         // computed from an old reading are short.
         boolean mayWait = extendLease && nowMs - mWorkerClockReadAtMs < RECENT_RESPONSE_MS;
         mPollInFlight = true;
-        long bornMs = mEntry.incarnationStartMs();
+        WorkerStatus polledEntry = mEntry;
         mMetrics.countWorkerPoll();
         long acknowledgedEnd = acknowledgedEndNumber(nowMs);
         boolean hasEffect = extendLease || acknowledgedEnd > 0;
@@ -359,7 +364,7 @@
                     if (hasEffect && (reply == null || reply.answer() == OrderAnswer.UNKNOWN)) {
                         mScheduler.onUnansweredCall(mEntry.id(), nowMs);
                     }
-                    onPollReply(reply, nowMs, bornMs);
+                    onPollReply(reply, nowMs, polledEntry);
                 });
     }
 
@@ -374,12 +379,14 @@
         return recent ? mScheduler.acknowledgedEnd(mEntry.id()) : 0;
     }
 
-    private void onPollReply(PollReply reply, long polledAtMs, long bornMs) {
+    private void onPollReply(PollReply reply, long polledAtMs, WorkerStatus polledEntry) {
         mPollInFlight = false;
         if (mStopped) {
             return;
         }
         long nowMs = mClock.monotonicMs();
+        boolean isPresentIncarnation =
+                polledEntry.incarnationStartMs() == mEntry.incarnationStartMs();
         OrderAnswer answer = reply == null ? OrderAnswer.UNKNOWN : reply.answer();
         if (answer == OrderAnswer.ACCEPTED) {
             if (mUnreachable) {
@@ -390,7 +397,7 @@
             mLapseRecorded = false;
             mLastResponseAtMs = nowMs;
             mHasUnacknowledgedEnds = !reply.runs().endedRuns().isEmpty();
-            if (bornMs == mEntry.incarnationStartMs()) {
+            if (isPresentIncarnation) {
                 mWorkerClockOffsetMs = reply.runs().clockMs() - nowMs;
                 mWorkerClockKnown = true;
                 mClockIncarnationMs = reply.runs().incarnationStartMs();
@@ -398,12 +405,18 @@
             }
             logEndedRuns(reply.runs());
             mScheduler.onRunReport(mEntry.id(), reply.runs(), polledAtMs, nowMs);
+            if (!mSilentWorkers.mayGrantLease(mEntry.id())) {
+                // No start is sent until the record no longer lists the worker.
+                mScheduler.onWorkerUnresponsive(mEntry.id());
+            }
             recordSpeedChange();
             mNextPollAtMs = Math.max(nowMs, polledAtMs + MIN_POLL_INTERVAL_MS);
         } else if (answer == OrderAnswer.FENCED) {
             mOnFenced.run();
         } else {
-            if (answer == OrderAnswer.REPLACED && bornMs == mEntry.incarnationStartMs()) {
+            if (answer == OrderAnswer.REPLACED
+                    && isPresentIncarnation
+                    && polledEntry.address().equals(mEntry.address())) {
                 mScheduler.onWorkerReplaced(mEntry.id(), nowMs);
             }
             onNoResponse(answer, nowMs);
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/OwnerSessionTest.java
@@ -198,6 +198,26 @@
         }
     }
 
+    /**
+     * Guards against runs that are taken as over by the record of silent workers before the entries
+     * show whether their workers have restarted, so that a late start runs them twice.
+     */
+    @Test
+    void noRunIsOverBeforeTheWorkersAreListed() throws Exception {
+        mStore.applyCommits();
+        mStore.addRun(SILENT);
+        mStore.put(
+                StoreKeys.SILENT_WORKERS,
+                ByteString.copyFromUtf8(Json.write(new SilentWorkers(Map.of(SILENT, 0L)))));
+        mStore.mListsWorkers = false;
+        startSession(0);
+        await(() -> mStore.mWorkerListings.get() >= 2);
+        awaitDecisions();
+        assertThat(mStore.mCommits).hasValue(0);
+        mStore.mListsWorkers = true;
+        await(() -> mStore.mCommits.get() > 0);
+    }
+
     private void awaitDecisions() throws InterruptedException {
         awaitDecisions(1_000);
     }
@@ -251,7 +271,9 @@
         private final AtomicInteger mCommits = new AtomicInteger();
         private final AtomicInteger mEvacuationListings = new AtomicInteger();
         private volatile boolean mListsBrokenWorker;
+        private final AtomicInteger mWorkerListings = new AtomicInteger();
         private volatile boolean mListsEvacuations = true;
+        private volatile boolean mListsWorkers = true;
         private volatile boolean mEvacuated;
 
         /** The keys that were written; null if commits get no response. */
@@ -292,6 +314,10 @@
             List<KeyValue> page = new ArrayList<>();
             if (prefix.equals(CONFIG_KEY)) {
                 page.add(new KeyValue(CONFIG_KEY, ByteString.EMPTY, 1, 0));
+            } else if (prefix.equals(WORKER_PREFIX) && !mListsWorkers) {
+                mWorkerListings.incrementAndGet();
+                return CompletableFuture.failedFuture(
+                        new StoreException(StoreException.Kind.REFUSED, "busy", null));
             } else if (prefix.equals(EVACUATION_PREFIX)) {
                 mEvacuationListings.incrementAndGet();
                 if (!mListsEvacuations) {
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultExplorationTest.java
@@ -17,7 +17,8 @@
  * <p>Checked rules: a task has at most one run at a time, no run starts after its task's success,
  * and every accepted job ends. For longer runs by hand, the system properties {@code
  * workerFaults.firstSeed}, {@code workerFaults.seeds} and {@code workerFaults.without} (a list of
- * faults, for {@link #rulesHoldForChosenFaults}) override the defaults; with {@code
+ * faults, for {@link #rulesHoldForChosenFaults} and {@link
+ * #rulesHoldWhenOwnersShareTheWaitForLeases}) override the defaults; with {@code
  * workerFaults.trace}, that test prints all events.
  */
 class WorkerFaultExplorationTest {
@@ -29,10 +30,14 @@
     /** Guards against two runs of a task at once, lost successes and lost jobs. */
     @Test
     void rulesHoldForChosenFaults() {
+        assertThat(explore(chosenFaults(), FIRST_SEED, SEEDS)).isEmpty();
+    }
+
+    private static Set<Fault> chosenFaults() {
         List<String> without = List.of(WITHOUT.split(",", -1));
         Set<Fault> faults = EnumSet.allOf(Fault.class);
         faults.removeIf(fault -> without.contains(fault.name()));
-        assertThat(explore(faults, FIRST_SEED, SEEDS)).isEmpty();
+        return faults;
     }
 
     /** Guards against the same where clocks were read long ago, but are exact. */
@@ -157,7 +162,7 @@
         List<String> violations = new ArrayList<>();
         for (long seed = FIRST_SEED; seed < FIRST_SEED + SEEDS; seed++) {
             WorkerFaultSimulation simulation =
-                    new WorkerFaultSimulation(seed, allBut(Fault.RESTARTS), Defect.NONE, false);
+                    new WorkerFaultSimulation(seed, chosenFaults(), Defect.NONE, false);
             violations.addAll(simulation.withSilentWorkerRecord().run());
         }
         assertThat(violations).isEmpty();
--- a/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultSimulation.java
+++ b/scheduler/src/test/java/org/lycheeroad/scheduler/owner/WorkerFaultSimulation.java
@@ -254,7 +254,11 @@
             mSessions.values().forEach(WorkerSession::checkLeaseExpiry);
             Map<WorkerId, Long> silent = new HashMap<>();
             mSessions.forEach(
-                    (id, session) -> session.silentUntilMs().ifPresent(ms -> silent.put(id, ms)));
+                    (id, session) -> {
+                        if (!mScheduler.mayRunByCallsInTransit(id, mNowMs)) {
+                            session.silentUntilMs().ifPresent(ms -> silent.put(id, ms));
+                        }
+                    });
             if (mRecordsSilentWorkers) {
                 mSilentWorkers.update(silent);
             }
